Add the design page, the build and the core, wire and runtime modules

Cause: every later part needs one agreed design, one build and one set of basic types.

Change: docs/design.md with the ways weighed for at-most-once claims; CMake modules found by pattern; core (result codes, outcome, timers, job keys), wire (Thrift messages and a codec that never throws), runtime (libevent loop, timers, Boost.Log); the interfaces of the log and the host list; style, layer and sanitizer checks in scripts/test.

Conclusion: parts can now be written side by side against these headers.

--- /dev/null
+++ b/idl/parsleyglade.thrift
@@ -0,0 +1,250 @@
+// Messages between entry hosts and records on the platform's log.
+// Regenerate with scripts/generate-thrift; the generated code is committed.
+namespace cpp parsleyglade.wire
+
+// ---- records of the claim streams ----
+
+struct claim_entry {
+    1: binary key              // 16 bytes, UUID version 7
+    2: i64 caller              // hash of the caller's name
+    3: i64 fingerprint         // hash of route, method, path and body
+    4: i64 dispatcher          // incarnation of the entry host that may send the job
+    5: i64 attempt             // random identifier of this attempt to claim
+    6: i32 team                // room for quotas; 0 when unused
+}
+
+enum job_result {
+    completed = 1
+    unknown = 2
+    released = 3
+}
+
+struct result_entry {
+    1: binary key
+    2: i64 caller
+    3: i64 attempt
+    4: job_result result
+    5: i16 httpStatus          // of a completed job
+}
+
+struct snapshot_chunk {
+    1: i64 snapshot            // identifier of the snapshot
+    2: i32 index
+    3: i32 count               // chunks in the whole snapshot
+    4: i64 checksum            // over the whole snapshot
+    5: binary part
+}
+
+struct claim_batch {
+    1: i64 writer              // incarnation
+    2: i64 batch               // random identifier
+    3: list<claim_entry> claims
+    4: list<result_entry> results
+    5: i64 horizonMilliseconds // keys older than this are expired; 0 when not raised
+    6: optional snapshot_chunk snapshot
+}
+
+// ---- records of the configuration stream ----
+
+struct table_proposal {
+    1: i64 baseRevision
+    2: string routes           // canonical JSON
+    3: string pools            // canonical JSON
+    4: string author
+    5: string note
+    6: i64 proposal            // random identifier, by which the publisher finds its record
+}
+
+struct table_snapshot {
+    1: i64 revision
+    2: string routes
+    3: string pools
+    4: binary digest           // SHA-256 of the state
+}
+
+struct configuration_record {
+    1: optional table_proposal proposal
+    2: optional table_snapshot snapshot
+}
+
+// ---- records of the fleet stream ----
+
+enum fleet_action {
+    entry_registered = 1
+    entry_retired = 2
+    drain_started = 3
+    drain_ended = 4
+    move_started = 5
+    move_acknowledged = 6
+    move_joined = 7
+    move_cancelled = 8
+    wave_planned = 9
+    wave_started = 10
+    wave_paused = 11
+    wave_aborted = 12
+    wave_host_done = 13
+    snapshot = 14
+}
+
+struct fleet_record {
+    1: fleet_action action
+    2: i64 writer              // incarnation
+    3: i64 record              // random identifier
+    4: string subject          // host, rack, data centre, wave or entry host
+    5: string dataCentre
+    6: string region
+    7: string fromPool
+    8: string toPool
+    9: i64 epoch               // move epoch that the record is based on
+    10: i64 wallMilliseconds
+    11: string detail          // JSON: the wave's plan, or a snapshot
+    12: string author
+}
+
+// ---- messages between entry hosts ----
+
+struct hello {
+    1: string entryHost
+    2: i64 incarnation
+    3: string region
+    4: string dataCentre
+    5: binary nonce
+    6: i32 protocolVersion
+}
+
+struct hello_proof {
+    1: binary mac              // HMAC-SHA256 over both nonces with the shared key
+}
+
+struct endpoint_load {
+    1: string host
+    2: i32 inFlight
+    3: i32 longInFlight
+}
+
+struct heartbeat {
+    1: i64 incarnation
+    2: i64 configurationRevision
+    3: i64 configurationOffset
+    4: binary configurationDigest
+    5: i64 fleetOffset
+    6: bool ready
+    7: bool logReachable
+    8: list<endpoint_load> loads
+    9: i64 sentMicroseconds
+}
+
+enum claim_verdict {
+    granted = 1                // the asker may send the job, once
+    still_running = 2
+    completed = 3
+    outcome_unknown = 4
+    refused = 5                // certainly not run
+    key_reused = 6
+    key_expired = 7
+    not_found = 8
+}
+
+struct kept_answer {
+    1: i16 httpStatus
+    2: string contentType
+    3: binary body
+}
+
+struct claim_request {
+    1: i32 stream
+    2: claim_entry claim
+    3: i32 waitMilliseconds    // how long the coordinator may hold the question while the job runs
+    4: bool queryOnly          // asks for the state and claims nothing
+}
+
+struct claim_reply {
+    1: claim_verdict verdict
+    2: i32 code                // result code
+    3: string reason
+    4: i64 dispatcher
+    5: i64 attempt
+    6: i16 httpStatus
+    7: optional kept_answer answer
+}
+
+struct result_report {
+    1: i32 stream
+    2: result_entry result
+    3: optional kept_answer answer
+}
+
+struct result_acknowledgement {
+    1: bool recorded
+}
+
+struct cancel_request {
+    1: binary key
+    2: i64 caller
+}
+
+struct cancel_reply {
+    1: bool stopped            // certainly not run, and will not
+}
+
+struct forward_request {
+    1: string requestId
+    2: string method
+    3: string path
+    4: string contentType
+    5: binary body
+    6: string caller
+    7: binary key
+    8: i64 deadlineMilliseconds
+}
+
+struct forward_reply {
+    1: bool started            // whether the job may have started
+    2: i32 code
+    3: string reason
+    4: optional kept_answer answer
+}
+
+struct log_record {
+    1: i64 offset
+    2: binary payload
+}
+
+struct log_records {
+    1: string stream
+    2: list<log_record> records
+}
+
+struct log_fetch {
+    1: string stream
+    2: i64 fromOffset
+}
+
+struct document_request {
+    1: string document         // "status" or "burn"
+}
+
+struct document_reply {
+    1: string json
+}
+
+// One frame between entry hosts. Exactly one of the optional fields is set.
+struct peer_message {
+    1: i64 id                  // a reply carries the id of its request
+    2: bool isReply
+    3: optional hello greeting
+    4: optional hello_proof proof
+    5: optional heartbeat beat
+    6: optional claim_request claim
+    7: optional claim_reply claimReply
+    8: optional result_report report
+    9: optional result_acknowledgement reportReply
+    10: optional cancel_request cancel
+    11: optional cancel_reply cancelReply
+    12: optional forward_request forward
+    13: optional forward_reply forwardReply
+    14: optional log_records records
+    15: optional log_fetch fetch
+    16: optional document_request document
+    17: optional document_reply documentReply
+}
--- /dev/null
+++ b/src/core/core.h
@@ -0,0 +1,14 @@
+#pragma once
+
+/** Umbrella header of the core module: result codes, outcomes, identifiers, time, hashing and job keys. */
+
+#include "core/digest.h"
+#include "core/failure.h"
+#include "core/identifiers.h"
+#include "core/job_key.h"
+#include "core/manual_timer_service.h"
+#include "core/outcome.h"
+#include "core/result_code.h"
+#include "core/time_types.h"
+#include "core/timer_service.h"
+#include "core/timer_subscription.h"
--- /dev/null
+++ b/src/core/manual_timer_service.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "core/timer_service.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+
+namespace parsleyglade {
+
+/** A timer service whose time is moved by hand, for tests and measurements in virtual time. */
+class manual_timer_service final : public timer_service
+{
+public:
+    manual_timer_service();
+    ~manual_timer_service() override;
+
+    time_point now() const override;
+    wall_time wallNow() const override;
+    timer_subscription every(duration interval, std::function<void()> callback) override;
+    timer_subscription after(duration delay, std::function<void()> callback) override;
+
+    /** Moves time forward and runs each timer that falls due, in order of time and then of subscription. */
+    void advance(duration step);
+
+    /** Sets the wall time without moving monotonic time, as a clock jump does. */
+    void setWallNow(wall_time wall);
+
+private:
+    struct schedule;
+
+    timer_subscription add(duration delay, duration interval, std::function<void()> callback);
+
+    std::shared_ptr<schedule> m_schedule;
+};
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/core/result_code.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace parsleyglade {
+
+/** Numbered results of the product. The numbers are part of the interface and are never reused. @see resultCodeTable */
+enum class result_code : std::uint16_t {
+    ok = 0,
+
+    // Operator tables and settings.
+    malformed_json = 100,
+    unknown_key = 101,
+    missing_key = 102,
+    wrong_type = 103,
+    out_of_range = 104,
+    unknown_pool = 105,
+    host_in_two_pools = 106,
+    duplicate_address = 107,
+    empty_pool = 108,
+    duplicate_name = 109,
+    table_too_large = 110,
+    invalid_value = 111,
+    revision_conflict = 112,
+
+    // The job did not run.
+    unknown_route = 200,
+    invalid_request = 201,
+    invalid_key = 202,
+    key_required = 203,
+    key_reused = 204,
+    not_authenticated = 205,
+    body_too_large = 206,
+    header_too_large = 207,
+    request_timeout = 208,
+    queue_full = 209,
+    deadline_unreachable = 210,
+    caller_over_limit = 211,
+    no_endpoint = 212,
+    log_unavailable = 213,
+    records_full = 214,
+    shutting_down = 215,
+    cancelled = 216,
+    endpoint_refused = 217,
+    key_in_future = 218,
+    coordinator_unreachable = 219,
+    method_not_allowed = 220,
+    job_not_found = 221,
+    too_many_connections = 222,
+
+    // The job may have run.
+    answer_cut = 300,
+    answer_timeout = 301,
+    dispatcher_lost = 302,
+    key_expired = 303,
+    connection_lost = 304,
+
+    // The job is running, or ran and its answer is gone.
+    still_running = 400,
+    answer_not_kept = 401,
+
+    // The platform and the system's own processes.
+    log_append_unknown = 500,
+    log_trimmed = 501,
+    corrupt_record = 502,
+    host_list_unavailable = 503,
+    peer_unreachable = 504,
+    peer_not_authenticated = 505,
+    internal_error = 506,
+
+    // Fleet decisions.
+    unknown_host = 600,
+    move_conflict = 601,
+    budget_exceeded = 602,
+    wave_not_found = 603,
+    wave_state = 604,
+    drain_not_found = 605,
+};
+
+/** One row of the table of result codes. */
+struct result_code_row
+{
+    result_code code;
+    std::string_view name;
+    int httpStatus; /**< Status that an HTTP answer with this code carries. */
+    std::string_view remedy; /**< What the caller or operator should do, in one line. */
+};
+
+/** Every result code, in ascending order. */
+std::span<const result_code_row> resultCodeTable();
+
+/** The row of a code. Every enumerator has one. */
+const result_code_row &describe(result_code code);
+
+/** The name of a code as it appears in answers and logs. */
+std::string_view name(result_code code);
+
+/** The code with a number, or nothing when no code has it. */
+std::optional<result_code> resultCodeFromNumber(int number);
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/runtime/event_loop.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/timer_service.h"
+
+#include <functional>
+#include <memory>
+
+struct event_base;
+
+namespace parsleyglade {
+
+/** The process's single libevent loop: timers, posted messages and signals. Every task runs on its thread. */
+class event_loop final : public timer_service
+{
+public:
+    event_loop();
+    ~event_loop() override;
+
+    time_point now() const override;
+    wall_time wallNow() const override;
+    timer_subscription every(duration interval, std::function<void()> callback) override;
+    timer_subscription after(duration delay, std::function<void()> callback) override;
+
+    /** Runs the message after the current callback has returned. Call on the loop's thread. */
+    void post(std::function<void()> message);
+
+    /** Calls back when the process receives the signal. The loop owns the subscription. */
+    void onSignal(int signal, std::function<void()> callback);
+
+    /** Runs until stop() is called. */
+    void run();
+
+    /** Makes run() return after the current callback. */
+    void stop();
+
+    /** The libevent base, for the transports. Owned by the loop. */
+    event_base *base() const;
+
+private:
+    struct state;
+
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/runtime/logger.cpp
@@ -0,0 +1,122 @@
+#include "runtime/logger.h"
+
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/support/date_time.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/log/utility/setup/console.hpp>
+#include <iostream>
+
+namespace parsleyglade {
+
+namespace {
+
+namespace boost_log = boost::log;
+
+using severity_source = boost_log::sources::severity_logger<log_level>;
+
+severity_source &source()
+{
+    static severity_source instance;
+    return instance;
+}
+
+std::string_view levelName(log_level level)
+{
+    switch (level) {
+    case log_level::debug:
+        return "debug";
+    case log_level::info:
+        return "info";
+    case log_level::warning:
+        return "warning";
+    case log_level::error:
+        return "error";
+    }
+    return "error";
+}
+
+void appendValue(std::string &line, const std::string &value)
+{
+    if (value.find_first_of(" \"=\n") == std::string::npos && !value.empty()) {
+        line += value;
+        return;
+    }
+
+    line += '"';
+    for (const char character : value) {
+        if (character == '"' || character == '\\') {
+            line += '\\';
+        }
+        line += character == '\n' ? ' ' : character;
+    }
+    line += '"';
+}
+
+void write(log_level level, std::string_view prefix, std::string_view sentence, std::initializer_list<log_field> fields)
+{
+    boost_log::record record = source().open_record(boost_log::keywords::severity = level);
+    if (!record) {
+        return;
+    }
+
+    std::string line(prefix);
+    line += ": ";
+    line += sentence;
+    for (const log_field &field : fields) {
+        line += ' ';
+        line += field.key;
+        line += '=';
+        appendValue(line, field.value);
+    }
+
+    boost_log::record_ostream stream(record);
+    stream << line;
+    stream.flush();
+    source().push_record(std::move(record));
+}
+
+} // namespace
+
+void logger::debug(std::string_view sentence, std::initializer_list<log_field> fields) const
+{
+    write(log_level::debug, m_prefix, sentence, fields);
+}
+
+void logger::info(std::string_view sentence, std::initializer_list<log_field> fields) const
+{
+    write(log_level::info, m_prefix, sentence, fields);
+}
+
+void logger::warning(std::string_view sentence, std::initializer_list<log_field> fields) const
+{
+    write(log_level::warning, m_prefix, sentence, fields);
+}
+
+void logger::error(std::string_view sentence, std::initializer_list<log_field> fields) const
+{
+    write(log_level::error, m_prefix, sentence, fields);
+}
+
+void setUpLogging(log_level minimum, std::string processName)
+{
+    const auto sink = boost_log::add_console_log(std::clog, boost_log::keywords::auto_flush = true);
+    sink->set_formatter([processName = std::move(processName)](const boost_log::record_view &record, boost_log::formatting_ostream &stream) {
+        const auto stamp = boost_log::extract<boost::posix_time::ptime>("TimeStamp", record);
+        const auto level = boost_log::extract<log_level>("Severity", record);
+        if (stamp) {
+            stream << boost::posix_time::to_iso_extended_string(*stamp) << ' ';
+        }
+        stream << levelName(level ? *level : log_level::error) << ' ' << processName << ' ' << record[boost_log::expressions::smessage];
+    });
+
+    boost_log::add_common_attributes();
+    boost_log::core::get()->set_filter([minimum](const boost_log::attribute_value_set &values) {
+        const auto level = boost_log::extract<log_level>("Severity", values);
+        return level && *level >= minimum;
+    });
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/runtime/runtime.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/** Umbrella header of the runtime module: event loop, timers and logging. */
+
+#include "runtime/event_loop.h"
+#include "runtime/logger.h"
--- /dev/null
+++ b/src/wire/codec.cpp
@@ -0,0 +1,69 @@
+#include "wire/codec.h"
+
+#include <thrift/TConfiguration.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace parsleyglade {
+
+namespace {
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+constexpr int maximumRecursion = 16;
+
+std::shared_ptr<apache::thrift::TConfiguration> limits()
+{
+    static const auto shared
+        = std::make_shared<apache::thrift::TConfiguration>(static_cast<int>(maximumMessageBytes), static_cast<int>(maximumMessageBytes), maximumRecursion);
+    return shared;
+}
+
+failure corrupt(std::string reason)
+{
+    return {result_code::corrupt_record, std::move(reason), {}};
+}
+
+} // namespace
+
+template <typename Message> std::string encode(const Message &message)
+{
+    const auto buffer = std::make_shared<TMemoryBuffer>(limits());
+    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+    message.write(&protocol);
+    return buffer->getBufferAsString();
+}
+
+template <typename Message> outcome<Message> decode(std::string_view bytes)
+{
+    if (bytes.empty() || bytes.size() > maximumMessageBytes) {
+        return corrupt("the message is empty or over the size limit");
+    }
+
+    try {
+        // TMemoryBuffer takes a mutable pointer but only reads in OBSERVE mode.
+        auto *data = reinterpret_cast<std::uint8_t *>(const_cast<char *>(bytes.data())); // NOLINT(cppcoreguidelines-pro-type-const-cast)
+        const auto buffer = std::make_shared<TMemoryBuffer>(data, static_cast<std::uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE, limits());
+        TCompactProtocolT<TMemoryBuffer> protocol(buffer, static_cast<int>(bytes.size()), static_cast<int>(bytes.size()));
+        Message message;
+        message.read(&protocol);
+        if (buffer->available_read() != 0) {
+            return corrupt("the message has surplus bytes");
+        }
+        return message;
+    } catch (const std::exception &error) {
+        return corrupt(std::string("the message can't be decoded: ") + error.what());
+    }
+}
+
+template std::string encode(const wire::claim_batch &);
+template std::string encode(const wire::configuration_record &);
+template std::string encode(const wire::fleet_record &);
+template std::string encode(const wire::peer_message &);
+template outcome<wire::claim_batch> decode(std::string_view);
+template outcome<wire::configuration_record> decode(std::string_view);
+template outcome<wire::fleet_record> decode(std::string_view);
+template outcome<wire::peer_message> decode(std::string_view);
+
+} // namespace parsleyglade
