Add the HTTP listener, the endpoint client and sessions between entry hosts

Cause: the path from a caller to an endpoint needs transports that tell "certainly not sent" from "may have run" and that survive bad input.

Change: http_server on libevhtp with absolute time, header, body and connection limits and an answer for every refusal; endpoint_client on evhttp, which counts written bytes and drops a connection after any answer that is cut, early, surplus or another request's; peer_session with an HMAC handshake over Thrift frames; event_loop retains sessions.

Ruled out: libevhtp's own errors for oversized bodies and malformed bytes close without an answer (seen in the bad-input table before the change), so the connection is handed to lingering_close.

Conclusion: transports are ready for the entry daemon.

--- a/src/runtime/event_loop.cpp
+++ b/src/runtime/event_loop.cpp
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 #include <list>
 #include <stdexcept>
+#include <unordered_map>
 #include <vector>
 
 namespace parsleyglade {
@@ -71,6 +72,7 @@
 {
     std::unique_ptr<event_base, base_deleter> base;
     std::vector<std::function<void()>> messages;
+    std::unordered_map<const void *, std::shared_ptr<void>> sessions;
     std::list<signal_state> signals;
     event_pointer wake;
 
@@ -99,6 +101,11 @@
 
 event_loop::~event_loop()
 {
+    // Sessions and messages may hold timers and sockets, so they go before the base.
+    while (!m_state->sessions.empty() || !m_state->messages.empty()) {
+        const auto sessions = std::exchange(m_state->sessions, {});
+        const auto messages = std::exchange(m_state->messages, {});
+    }
     m_state->signals.clear();
     m_state->wake.reset();
 }
@@ -149,6 +156,20 @@
     event_active(m_state->wake.get(), EV_TIMEOUT, 0);
 }
 
+void event_loop::retain(std::shared_ptr<void> session)
+{
+    const void *key = session.get();
+    m_state->sessions[key] = std::move(session);
+}
+
+void event_loop::release(const void *session)
+{
+    auto node = m_state->sessions.extract(session);
+    if (!node.empty()) {
+        post([held = std::move(node.mapped())] {});
+    }
+}
+
 void event_loop::onSignal(int signal, std::function<void()> callback)
 {
     signal_state &added = m_state->signals.emplace_back();
--- a/src/runtime/event_loop.h
+++ b/src/runtime/event_loop.h
@@ -24,6 +24,12 @@
     /** Runs the message after the current callback has returned. Call on the loop's thread. */
     void post(std::function<void()> message);
 
+    /** Keeps a session alive until it is released, or until the loop is destroyed. */
+    void retain(std::shared_ptr<void> session);
+
+    /** Lets go of a retained session after the current callback has returned. */
+    void release(const void *session);
+
     /** Calls back when the process receives the signal. The loop owns the subscription. */
     void onSignal(int signal, std::function<void()> callback);
 
--- /dev/null
+++ b/src/transport/endpoint_connection.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "runtime/event_loop.h"
+#include "transport/endpoint_call.h"
+#include "transport/endpoint_client_settings.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace parsleyglade {
+
+/** One connection to an endpoint, on evhttp. Watches the bytes written and read, which evhttp does not report, to tell
+    a request that was never sent from one that may have run. Keeps itself alive during a call; owns its socket. */
+class endpoint_connection : public std::enable_shared_from_this<endpoint_connection>
+{
+public:
+    using completion = std::function<void(call_result, bool reusable)>;
+
+    endpoint_connection(event_loop &loop, const endpoint_client_settings &settings, const std::string &address);
+    endpoint_connection(const endpoint_connection &) = delete;
+    endpoint_connection &operator=(const endpoint_connection &) = delete;
+    ~endpoint_connection();
+
+    /** Whether the address could be understood. */
+    bool isValid() const;
+
+    /** Starts the call. @pre no call is running on this connection */
+    void call(const http_request &request, const std::string &requestId, duration limit, completion done);
+
+    /** Whether it may carry another request now: it is open, silent and was not idle for too long. */
+    bool isUsable() const;
+
+private:
+    static void onAnswer(evhttp_request *answer, void *argument);
+    static void onWritten(evbuffer *buffer, const evbuffer_cb_info *info, void *argument);
+    static void onConnectionClosed(evhttp_connection *connection, void *argument);
+
+    void finish(evhttp_request *answer);
+    void expire();
+    void closeSocket();
+    call_result judge(evhttp_request *answer) const;
+    call_result broken(result_code code) const;
+    void complete(call_result result, bool reusable);
+
+    event_loop &m_loop;
+    endpoint_client_settings m_settings;
+    bufferevent *m_buffer = nullptr; /**< Owned by m_connection. */
+    evhttp_connection *m_connection = nullptr;
+    std::string m_requestId;
+    completion m_done;
+    timer_subscription m_limit;
+    timer_subscription m_connectLimit;
+    time_point m_lastUsed{};
+    std::size_t m_writtenBytes = 0;
+    bool m_closed = false;
+};
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/transport/http_connection.cpp
@@ -0,0 +1,278 @@
+#include "transport/http_connection.h"
+
+#include "transport/lingering_close.h"
+
+#include <array>
+#include <charconv>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <unistd.h>
+
+namespace parsleyglade {
+
+namespace {
+
+constexpr std::array<std::string_view, 9> methodNames{"GET", "HEAD", "POST", "PUT", "DELETE", "MKCOL", "COPY", "MOVE", "OPTIONS"};
+
+std::string methodName(evhtp_request_t *request)
+{
+    const auto method = static_cast<std::size_t>(evhtp_request_get_method(request));
+    return std::string(method < methodNames.size() ? methodNames[method] : "OTHER");
+}
+
+std::string text(const char *value)
+{
+    return value == nullptr ? std::string() : std::string(value);
+}
+
+http_request readRequest(evhtp_request_t *request)
+{
+    http_request received;
+    received.method = methodName(request);
+    if (request->uri != nullptr) {
+        received.path = request->uri->path != nullptr ? text(request->uri->path->full) : std::string();
+        received.query = text(reinterpret_cast<const char *>(request->uri->query_raw));
+    }
+
+    const auto addHeader = [](evhtp_kv_t *header, void *argument) {
+        static_cast<std::vector<http_header> *>(argument)->emplace_back(std::string(header->key, header->klen), std::string(header->val, header->vlen));
+        return 0;
+    };
+    evhtp_kvs_for_each(request->headers_in, addHeader, &received.headers);
+
+    const std::size_t size = evbuffer_get_length(request->buffer_in);
+    received.body.resize(size);
+    evbuffer_copyout(request->buffer_in, received.body.data(), size);
+    return received;
+}
+
+std::string rawAnswer(const http_response &response)
+{
+    std::string raw = "HTTP/1.1 " + std::to_string(response.status) + ' ' + std::string(reasonPhrase(response.status)) + "\r\n";
+    for (const auto &[name, value] : response.headers) {
+        raw.append(name).append(": ").append(value).append("\r\n");
+    }
+    raw.append("Content-Length: ").append(std::to_string(response.body.size()));
+    return raw.append("\r\nConnection: close\r\n\r\n").append(response.body);
+}
+
+template <typename Hook> evhtp_hook untypedHook(Hook hook)
+{
+    // libevhtp declares hooks without parameters and calls each by its own type; void (*)() is the cast that compilers accept.
+    return reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(hook));
+}
+
+} // namespace
+
+http_connection::http_connection(context &owner, evhtp_connection_t *connection)
+    : m_context(owner)
+    , m_connection(connection)
+{
+}
+
+void http_connection::start()
+{
+    m_context.loop.retain(shared_from_this());
+    evhtp_connection_set_hook(m_connection, evhtp_hook_on_headers_start, untypedHook(&onHeadersStart), this);
+    evhtp_connection_set_hook(m_connection, evhtp_hook_on_header, untypedHook(&onHeader), this);
+    evhtp_connection_set_hook(m_connection, evhtp_hook_on_headers, untypedHook(&onHeaders), this);
+    evhtp_connection_set_hook(m_connection, evhtp_hook_on_read, untypedHook(&onBody), this);
+    evhtp_connection_set_hook(m_connection, evhtp_hook_on_connection_fini, untypedHook(&onClosed), this);
+    beginRequest();
+}
+
+void http_connection::beginRequest()
+{
+    m_headerBytes = 0;
+    m_bodyBytes = 0;
+    m_reading = false;
+    m_requestLimit.cancel();
+}
+
+void http_connection::send(const http_response &response)
+{
+    if (m_request == nullptr || m_connection == nullptr || m_refused) {
+        return;
+    }
+
+    if (m_context.closing) {
+        closeWith(response);
+        return;
+    }
+
+    evhtp_request_t *request = std::exchange(m_request, nullptr);
+    const auto add = [request](const std::string &name, const std::string &value) {
+        constexpr char copied = 1;
+        evhtp_headers_add_header(request->headers_out, evhtp_header_new(name.c_str(), value.c_str(), copied, copied));
+    };
+    for (const auto &[name, value] : response.headers) {
+        add(name, value);
+    }
+    add("Content-Length", std::to_string(response.body.size()));
+    evbuffer_add(request->buffer_out, response.body.data(), response.body.size());
+
+    beginRequest();
+    evhtp_send_reply(request, static_cast<evhtp_res>(response.status));
+    if (m_connection != nullptr && (m_connection->flags & EVHTP_CONN_FLAG_PAUSED) != 0) {
+        evhtp_connection_resume(m_connection);
+    }
+}
+
+void http_connection::dispatch(evhtp_request_t *request)
+{
+    m_requestLimit.cancel();
+    m_reading = false;
+    if (m_refused) {
+        return;
+    }
+
+    m_request = request;
+    evhtp_request_pause(request);
+    m_context.handler(std::make_shared<http_exchange>(weak_from_this(), readRequest(request)));
+}
+
+bool http_connection::isBusy() const
+{
+    return m_reading || m_request != nullptr;
+}
+
+void http_connection::closeIfIdle()
+{
+    if (isBusy() || m_connection == nullptr || m_refused) {
+        return;
+    }
+
+    // Not while libevhtp may be using the connection further up the stack.
+    m_context.loop.post([self = shared_from_this()] {
+        if (self->m_connection != nullptr && !self->isBusy()) {
+            evhtp_connection_free(self->m_connection);
+        }
+    });
+}
+
+void http_connection::abort()
+{
+    if (m_connection != nullptr) {
+        evhtp_connection_free(m_connection);
+    }
+}
+
+void http_connection::refuse(result_code code)
+{
+    if (m_connection != nullptr) {
+        closeWith(m_context.refusal(code));
+    }
+}
+
+void http_connection::closeWith(const http_response &response)
+{
+    if (m_refused) {
+        return;
+    }
+
+    m_refused = true;
+    m_lastAnswer = rawAnswer(response);
+    m_requestLimit.cancel();
+    bufferevent_disable(evhtp_connection_get_bev(m_connection), EV_READ);
+
+    // libevhtp may be using this connection further up the stack, so it is freed from the loop.
+    m_context.loop.post([self = shared_from_this()] { self->abort(); });
+}
+
+void http_connection::handOver(int socket)
+{
+    const int duplicate = ::dup(socket);
+    if (duplicate >= 0) {
+        lingering_close::start(m_context.loop, duplicate, m_lastAnswer);
+    }
+}
+
+evhtp_res http_connection::onHeadersStart(evhtp_request_t *, void *argument)
+{
+    auto *self = static_cast<http_connection *>(argument);
+    self->beginRequest();
+    self->m_reading = true;
+    self->m_requestLimit = self->m_context.loop.after(self->m_context.settings.requestTimeLimit, [self] { self->refuse(result_code::request_timeout); });
+    return EVHTP_RES_OK;
+}
+
+evhtp_res http_connection::onHeader(evhtp_request_t *, evhtp_header_t *header, void *argument)
+{
+    auto *self = static_cast<http_connection *>(argument);
+    constexpr std::size_t separatorBytes = 4;
+    self->m_headerBytes += header->klen + header->vlen + separatorBytes;
+    if (self->m_headerBytes > self->m_context.settings.maximumHeaderBytes) {
+        self->refuse(result_code::header_too_large);
+    }
+    return EVHTP_RES_OK;
+}
+
+evhtp_res http_connection::onHeaders(evhtp_request_t *, evhtp_headers_t *headers, void *argument)
+{
+    static_cast<http_connection *>(argument)->checkHeaders(headers);
+    return EVHTP_RES_OK;
+}
+
+void http_connection::checkHeaders(evhtp_headers_t *headers)
+{
+    const char *lengthText = evhtp_header_find(headers, "Content-Length");
+    if (lengthText == nullptr) {
+        return;
+    }
+
+    // Two framings of one body would let a sender smuggle a second request past the limits.
+    if (evhtp_header_find(headers, "Transfer-Encoding") != nullptr) {
+        refuse(result_code::invalid_request);
+        return;
+    }
+
+    const std::string_view digits(lengthText);
+    std::size_t length = 0;
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), length);
+    if (error != std::errc() || end != digits.data() + digits.size()) {
+        refuse(result_code::invalid_request);
+        return;
+    }
+
+    if (length > m_context.settings.maximumBodyBytes) {
+        refuse(result_code::body_too_large);
+    }
+}
+
+evhtp_res http_connection::onBody(evhtp_request_t *, evbuffer *buffer, void *argument)
+{
+    auto *self = static_cast<http_connection *>(argument);
+    self->m_bodyBytes += evbuffer_get_length(buffer);
+    if (self->m_bodyBytes > self->m_context.settings.maximumBodyBytes) {
+        self->refuse(result_code::body_too_large);
+        evbuffer_drain(buffer, evbuffer_get_length(buffer));
+    }
+    return EVHTP_RES_OK;
+}
+
+evhtp_res http_connection::onClosed(evhtp_connection_t *connection, void *argument)
+{
+    static_cast<http_connection *>(argument)->end(connection);
+    return EVHTP_RES_OK;
+}
+
+void http_connection::end(evhtp_connection_t *connection)
+{
+    // libevhtp closes without an answer when its parser meets malformed bytes.
+    const bool malformed = htparser_get_error(connection->parser) != htparse_error_none;
+    if (malformed && !m_refused && m_request == nullptr) {
+        m_lastAnswer = rawAnswer(m_context.refusal(result_code::invalid_request));
+    }
+    if (!m_lastAnswer.empty()) {
+        handOver(bufferevent_getfd(evhtp_connection_get_bev(connection)));
+    }
+
+    m_requestLimit.cancel();
+    m_connection = nullptr;
+    m_request = nullptr;
+    m_reading = false;
+    m_context.closed(this);
+    m_context.loop.release(this);
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/transport/http_connection.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "core/result_code.h"
+#include "runtime/event_loop.h"
+#include "transport/http_exchange.h"
+#include "transport/http_server_settings.h"
+
+#include <evhtp.h>
+#include <functional>
+#include <memory>
+
+namespace parsleyglade {
+
+/** One accepted connection: reads requests through libevhtp under the listener's limits and sends answers in order.
+    Refuses bad input with an answer of its own and closes. Keeps itself alive until libevhtp ends the connection. */
+class http_connection : public std::enable_shared_from_this<http_connection>
+{
+public:
+    using request_handler = std::function<void(std::shared_ptr<http_exchange>)>;
+
+    /** What a connection needs from its server, which outlives it. */
+    struct context
+    {
+        event_loop &loop;
+        const http_server_settings &settings;
+        request_handler handler;
+        std::function<http_response(result_code)> refusal; /**< Answer for bad input. */
+        std::function<void(http_connection *)> closed;
+        bool closing = false; /**< When set, connections close after their current answer. */
+    };
+
+    http_connection(context &owner, evhtp_connection_t *connection);
+    http_connection(const http_connection &) = delete;
+    http_connection &operator=(const http_connection &) = delete;
+    ~http_connection() = default;
+
+    /** Installs the hooks; from here on libevhtp's connection holds a reference. */
+    void start();
+
+    /** Sends the answer to the current request. */
+    void send(const http_response &response);
+
+    /** Passes a whole request to the handler. Called by the server's libevhtp callback. */
+    void dispatch(evhtp_request_t *request);
+
+    /** Ends the connection with an answer, outside the request order. */
+    void refuse(result_code code);
+
+    /** Whether a request is being read or handled. */
+    bool isBusy() const;
+
+    /** Closes the connection if no request is being read or handled. */
+    void closeIfIdle();
+
+    /** Closes the connection at once. Not to be called from a callback of the same connection. */
+    void abort();
+
+private:
+    static evhtp_res onHeadersStart(evhtp_request_t *request, void *argument);
+    static evhtp_res onHeader(evhtp_request_t *request, evhtp_header_t *header, void *argument);
+    static evhtp_res onHeaders(evhtp_request_t *request, evhtp_headers_t *headers, void *argument);
+    static evhtp_res onBody(evhtp_request_t *request, evbuffer *buffer, void *argument);
+    static evhtp_res onClosed(evhtp_connection_t *connection, void *argument);
+
+    void beginRequest();
+    void checkHeaders(evhtp_headers_t *headers);
+    void end(evhtp_connection_t *connection);
+    void closeWith(const http_response &response);
+    void handOver(int socket);
+
+    context &m_context;
+    evhtp_connection_t *m_connection;
+    evhtp_request_t *m_request = nullptr; /**< The request that waits for its answer. */
+    std::size_t m_headerBytes = 0;
+    std::size_t m_bodyBytes = 0;
+    bool m_reading = false;
+    bool m_refused = false;
+    std::string m_lastAnswer; /**< Answer that ends the connection; empty when none does. */
+    timer_subscription m_requestLimit;
+};
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/transport/http_server.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/outcome.h"
+#include "transport/http_connection.h"
+
+#include <memory>
+#include <unordered_set>
+
+namespace parsleyglade {
+
+/** An HTTP listener on libevhtp. Owns its socket and connections; everything runs on the loop's thread.
+    @see http_exchange */
+class http_server
+{
+public:
+    /** @param refusal makes the answer for bad input, with a status, body and Retry-After of the product's form. */
+    http_server(event_loop &loop, http_server_settings settings, http_connection::request_handler handler, std::function<http_response(result_code)> refusal);
+    http_server(const http_server &) = delete;
+    http_server &operator=(const http_server &) = delete;
+    ~http_server();
+
+    /** Listens. Fails with invalid_value when the address can't be bound. */
+    outcome<std::uint16_t> listen();
+
+    /** Accepts nothing more, closes idle connections, and closes the others after their current answer. */
+    void stopAccepting();
+
+    /** Connections that are open now. */
+    std::size_t connectionCount() const;
+
+private:
+    static evhtp_res onAccept(evhtp_connection_t *connection, void *argument);
+    static void onRequest(evhtp_request_t *request, void *argument);
+
+    http_server_settings m_settings;
+    http_connection::context m_context;
+    evhtp_t *m_server = nullptr;
+    bool m_bound = false;
+    std::unordered_set<http_connection *> m_connections;
+};
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/transport/transport.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/** Umbrella header of the transport module: HTTP listener, endpoint client and peer sessions. */
+
+#include "transport/endpoint_client.h"
+#include "transport/http_server.h"
+#include "transport/peer_link.h"
+#include "transport/peer_server.h"
+#include "transport/socket_address.h"
--- /dev/null
+++ b/tests/transport/http_server_test.cpp
@@ -0,0 +1,218 @@
+#include "raw_connection.h"
+#include "transport/transport.h"
+
+#include <catch2/catch.hpp>
+
+using namespace parsleyglade;
+using namespace std::chrono_literals;
+using test::raw_connection;
+
+namespace {
+
+struct echo_server
+{
+    echo_server()
+        : server(
+            loop, settings(), [this](const std::shared_ptr<http_exchange> &exchange) { answer(exchange); },
+            [](result_code code) {
+                return http_response{describe(code).httpStatus, {}, std::string(name(code))};
+            })
+        , port(server.listen().value())
+    {
+    }
+
+    static http_server_settings settings()
+    {
+        http_server_settings limits;
+        limits.maximumHeaderBytes = 2048;
+        limits.maximumBodyBytes = 1000;
+        limits.maximumConnections = 4;
+        limits.requestTimeLimit = 150ms;
+        return limits;
+    }
+
+    void answer(const std::shared_ptr<http_exchange> &exchange)
+    {
+        const http_request &request = exchange->request();
+        if (request.path == "/later") {
+            pending.push_back(exchange);
+            return;
+        }
+        exchange->respond({200, {{"Content-Type", "text/plain"}}, request.method + ' ' + request.path + '?' + request.query + ' ' + request.body});
+    }
+
+    event_loop loop;
+    std::vector<std::shared_ptr<http_exchange>> pending;
+    http_server server;
+    std::uint16_t port;
+};
+
+std::string post(const std::string &path, const std::string &body)
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+// Guards against requests that lose their method, path, query or body on the way to the handler.
+TEST_CASE("a request reaches the handler whole and its answer comes back")
+{
+    echo_server fixture;
+    raw_connection caller(fixture.loop, fixture.port);
+    caller.send(post("/a/b?x=1", "hello"));
+    const std::string answer = caller.receive("hello");
+    CHECK(answer.find("HTTP/1.1 200") == 0);
+    CHECK(answer.find("POST /a/b?x=1 hello") != std::string::npos);
+}
+
+// Guards against bad input that gets no clear error, holds a connection, or costs another caller anything.
+TEST_CASE("bad input is refused with its own status and closes only its own connection")
+{
+    struct bad_input
+    {
+        std::string label;
+        std::string bytes;
+        bool endsWriting;
+        std::string expected;
+    };
+    const std::string longLine(20000, 'x');
+    const auto input = GENERATE_REF(values<bad_input>({
+        {"oversized body by length", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n", false, "HTTP/1.1 413"},
+        {"oversized chunked body", "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1000\r\n" + std::string(4096, 'b') + "\r\n0\r\n\r\n",
+         false, "HTTP/1.1 413"},
+        {"many headers", "GET /a HTTP/1.1\r\nA: " + std::string(1500, 'a') + "\r\nB: " + std::string(1500, 'b') + "\r\n\r\n", false, "HTTP/1.1 431"},
+        {"malformed length", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 12x\r\n\r\n", false, "HTTP/1.1 400"},
+        {"two framings", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\nhello", false, "HTTP/1.1 400"},
+        {"not HTTP", "\x16\x03\x01\x02 hello\r\n\r\n", false, "HTTP/1.1 400"},
+        {"slow sender", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\nabc", false, "HTTP/1.1 408"},
+        {"endless header line", "GET /a HTTP/1.1\r\nA: " + longLine, false, "HTTP/1.1 4"},
+    }));
+    CAPTURE(input.label);
+
+    echo_server fixture;
+    raw_connection other(fixture.loop, fixture.port);
+    raw_connection sender(fixture.loop, fixture.port);
+    sender.send(input.bytes);
+    if (input.endsWriting) {
+        sender.endWriting();
+    }
+    const std::string answer = sender.receive();
+    CHECK(answer.substr(0, input.expected.size()) == input.expected);
+    CHECK(sender.isClosed());
+
+    other.send(post("/a", "still served"));
+    CHECK(other.receive("still served").find("HTTP/1.1 200") == 0);
+}
+
+// Guards against answers that go to the wrong request of a pipelined connection.
+TEST_CASE("pipelined requests are answered in order, also when the first answer is late")
+{
+    echo_server fixture;
+    raw_connection caller(fixture.loop, fixture.port);
+    caller.send(post("/later", "one") + post("/second", "two") + post("/third", "three"));
+    caller.run(30ms);
+    CHECK(caller.receive("HTTP", 50ms).empty());
+    REQUIRE(fixture.pending.size() == 1);
+
+    fixture.pending.front()->respond({200, {}, "first"});
+    const std::string answers = caller.receive("three");
+    const auto first = answers.find("first");
+    const auto second = answers.find("POST /second? two");
+    const auto third = answers.find("POST /third? three");
+    CHECK(first < second);
+    CHECK(second < third);
+    CHECK(third != std::string::npos);
+}
+
+// Guards against a half-closed caller that loses its answer, and against use of a connection that has gone.
+TEST_CASE("callers that close early")
+{
+    echo_server fixture;
+
+    SECTION("a half-closed connection still gets its answer")
+    {
+        raw_connection caller(fixture.loop, fixture.port);
+        caller.send(post("/later", "x"));
+        caller.endWriting();
+        caller.run(30ms);
+        REQUIRE(fixture.pending.size() == 1);
+        fixture.pending.front()->respond({200, {}, "late answer"});
+        CHECK(caller.receive("late answer").find("late answer") != std::string::npos);
+    }
+
+    SECTION("an answer for a caller that has gone is dropped")
+    {
+        {
+            raw_connection caller(fixture.loop, fixture.port);
+            caller.send(post("/later", "x"));
+            caller.run(30ms);
+        }
+        raw_connection observer(fixture.loop, fixture.port);
+        observer.run(30ms);
+        REQUIRE(fixture.pending.size() == 1);
+        fixture.pending.front()->respond({200, {}, "nobody"});
+        observer.send(post("/a", "after"));
+        CHECK(observer.receive("after").find("HTTP/1.1 200") == 0);
+    }
+
+    SECTION("a truncated body is never handled")
+    {
+        raw_connection caller(fixture.loop, fixture.port);
+        caller.send("POST /later HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\nabc");
+        caller.endWriting();
+        caller.receive();
+        CHECK(fixture.pending.empty());
+    }
+}
+
+// Guards against connections that stay open although the caller asked to close them.
+TEST_CASE("a caller that asks to close gets its answer and then the end of the connection")
+{
+    echo_server fixture;
+    raw_connection caller(fixture.loop, fixture.port);
+    const std::string request = GENERATE(as<std::string>{}, "GET /a HTTP/1.0\r\n\r\n", "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+                                         "GET /later HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    caller.send(request);
+    caller.run(30ms);
+    for (const auto &exchange : fixture.pending) {
+        exchange->respond({200, {}, "GET /later"});
+    }
+    CHECK(caller.receive().find("GET /") != std::string::npos);
+    CHECK(caller.isClosed());
+}
+
+// Guards against one caller that takes every connection.
+TEST_CASE("connections over the limit are refused with a clear answer")
+{
+    echo_server fixture;
+    std::vector<std::unique_ptr<raw_connection>> open;
+    for (int index = 0; index < 4; ++index) {
+        open.push_back(std::make_unique<raw_connection>(fixture.loop, fixture.port));
+        open.back()->run(5ms);
+    }
+    raw_connection surplus(fixture.loop, fixture.port);
+    CHECK(surplus.receive().find("HTTP/1.1 503") == 0);
+
+    open.front()->send(post("/a", "first caller"));
+    CHECK(open.front()->receive("first caller").find("HTTP/1.1 200") == 0);
+}
+
+// Guards against a planned stop that cuts off a request in flight.
+TEST_CASE("a stopping server answers what is in flight and closes idle connections")
+{
+    echo_server fixture;
+    raw_connection idle(fixture.loop, fixture.port);
+    raw_connection busy(fixture.loop, fixture.port);
+    busy.send(post("/later", "x"));
+    busy.run(30ms);
+    REQUIRE(fixture.pending.size() == 1);
+
+    fixture.server.stopAccepting();
+    idle.receive({}, 200ms);
+    CHECK(idle.isClosed());
+
+    fixture.pending.front()->respond({200, {}, "finished"});
+    CHECK(busy.receive().find("finished") != std::string::npos);
+    CHECK(busy.isClosed());
+    CHECK(fixture.server.connectionCount() == 0);
+}
--- /dev/null
+++ b/tests/transport/raw_connection.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "runtime/runtime.h"
+
+#include <arpa/inet.h>
+#include <cstdint>
+#include <fcntl.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace parsleyglade::test {
+
+/** A plain TCP client that sends whatever bytes a test wants, in step with the loop under test. */
+class raw_connection
+{
+public:
+    raw_connection(event_loop &loop, std::uint16_t port)
+        : m_loop(loop)
+        , m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        ::connect(m_socket, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+        ::fcntl(m_socket, F_SETFL, O_NONBLOCK);
+    }
+
+    raw_connection(const raw_connection &) = delete;
+    raw_connection &operator=(const raw_connection &) = delete;
+
+    ~raw_connection()
+    {
+        ::close(m_socket);
+    }
+
+    void send(const std::string &bytes)
+    {
+        std::size_t sent = 0;
+        while (sent < bytes.size()) {
+            const ssize_t count = ::send(m_socket, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+            if (count > 0) {
+                sent += static_cast<std::size_t>(count);
+            } else if (errno != EAGAIN) {
+                return;
+            }
+            run(std::chrono::milliseconds{1});
+        }
+    }
+
+    void endWriting()
+    {
+        ::shutdown(m_socket, SHUT_WR);
+    }
+
+    /** Runs the loop until the other side closes, the wanted text has come, or the time is over; returns all received so far. */
+    std::string receive(const std::string &wanted = {}, std::chrono::milliseconds limit = std::chrono::milliseconds{2000})
+    {
+        const time_point end = m_loop.now() + limit;
+        while (!m_closed && m_loop.now() < end && (wanted.empty() || m_received.find(wanted) == std::string::npos)) {
+            run(std::chrono::milliseconds{2});
+            char buffer[4096];
+            const ssize_t count = ::recv(m_socket, buffer, sizeof(buffer), 0);
+            if (count > 0) {
+                m_received.append(buffer, static_cast<std::size_t>(count));
+            } else if (count == 0 || errno != EAGAIN) {
+                m_closed = true;
+            }
+        }
+        return m_received;
+    }
+
+    bool isClosed() const
+    {
+        return m_closed;
+    }
+
+    void run(duration time)
+    {
+        const auto end = m_loop.after(time, [this] { m_loop.stop(); });
+        m_loop.run();
+    }
+
+private:
+    event_loop &m_loop;
+    int m_socket;
+    bool m_closed = false;
+    std::string m_received;
+};
+
+} // namespace parsleyglade::test
