--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -24,6 +24,7 @@
     result_code_row{result_code::table_too_large, "table_too_large", 413, "Keep each table below the size limit."},
     result_code_row{result_code::invalid_value, "invalid_value", 400, "Give a value of the stated form."},
     result_code_row{result_code::revision_conflict, "revision_conflict", 409, "Read the current revision, merge the shown differences and publish again."},
+    result_code_row{result_code::duplicate_key, "duplicate_key", 400, "Keep one of the repeated keys."},
 
     result_code_row{result_code::unknown_route, "unknown_route", 404, "Use a method and path of the routes table."},
     result_code_row{result_code::invalid_request, "invalid_request", 400, "Correct the request."},
--- a/src/core/result_code.h
+++ b/src/core/result_code.h
@@ -25,6 +25,7 @@
     table_too_large = 110,
     invalid_value = 111,
     revision_conflict = 112,
+    duplicate_key = 113,
 
     // The job did not run.
     unknown_route = 200,
