--- a/src/core/json_checker.cpp
+++ b/src/core/json_checker.cpp
@@ -229,6 +229,11 @@
     return m_value != nullptr && m_value->is_object() && m_value->contains(key);
 }
 
+bool json_checker::isEmptyArray() const
+{
+    return m_value != nullptr && m_value->is_array() && m_value->empty();
+}
+
 json_checker json_checker::member(std::string_view key) const
 {
     return {has(key) ? &*m_value->find(key) : nullptr, m_failures, appendToPointer(m_pointer, key)};
--- a/src/core/json_checker.h
+++ b/src/core/json_checker.h
@@ -45,6 +45,9 @@
     /** Whether the value is an object with the key. */
     bool has(std::string_view key) const;
 
+    /** Whether the value is an array without elements. */
+    bool isEmptyArray() const;
+
     /** Checker of an object's member; of a missing value when there is none. */
     json_checker member(std::string_view key) const;
 
--- /dev/null
+++ b/tests/support/source_file.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
+
+/** Text of a file of the source tree, by its path from the root. Empty when it can't be read. */
+inline std::string readSourceFile(const std::string &path)
+{
+    const auto root = std::filesystem::path(__FILE__).parent_path().parent_path().parent_path();
+    std::ifstream file(root / path, std::ios::binary);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
