Add the HTTP clients of the log and the host list

Cause: the daemon meets the platform's log and host list over HTTP, and the claim rules depend on knowing whether an append certainly did not happen.

Change: http_requester sends requests over its own evhttp connections, one request at a time on each, never twice, with a time limit for the whole call and bounded answers. http_log_client reports an append as refused only when no connection could be opened or the log answered 429 or 503; every other failure is unknown. Reads try each address once. Appends and reads use separate connections. http_host_list_client reads GET /v1/hosts in the same way.

The clients have not yet been run against the stand-in servers.

--- /dev/null
+++ b/src/platform/http_host_list_client.cpp
@@ -0,0 +1,71 @@
+#include "platform/http_host_list_client.h"
+
+#include "platform/host_list_json.h"
+
+#include <cassert>
+
+namespace parsleyglade {
+
+namespace {
+
+constexpr int statusOk = 200;
+
+http_requester_settings requesterSettings(const http_host_list_client_settings &settings)
+{
+    http_requester_settings result;
+    result.maximumConnections = settings.maximumFetches;
+    result.maximumBodyBytes = settings.maximumAnswerBytes;
+    return result;
+}
+
+outcome<host_list> readAnswer(const http_answer &answer)
+{
+    if (answer.delivery != http_delivery::answered) {
+        return failure{result_code::host_list_unavailable, answer.reason, {}};
+    }
+    if (answer.status != statusOk) {
+        return failure{result_code::host_list_unavailable, "the host list answered " + std::to_string(answer.status), {}};
+    }
+    return hostListFromJson(answer.body);
+}
+
+} // namespace
+
+http_host_list_client::http_host_list_client(event_loop &loop, http_host_list_client_settings settings)
+    : m_settings(std::move(settings))
+    , m_requester(loop, requesterSettings(m_settings))
+{
+    assert(!m_settings.addresses.empty());
+}
+
+http_host_list_client::~http_host_list_client() = default;
+
+void http_host_list_client::fetch(std::function<void(outcome<host_list>)> done)
+{
+    fetchFrom(m_preferred, m_settings.addresses.size(), std::move(done));
+}
+
+void http_host_list_client::fetchFrom(std::size_t address, std::size_t attemptsLeft, std::function<void(outcome<host_list>)> done)
+{
+    http_request request;
+    request.address = m_settings.addresses[address];
+    request.target = "/v1/hosts";
+    request.timeLimit = m_settings.timeLimit;
+
+    m_requester.send(request, [this, address, attemptsLeft, done = std::move(done)](const http_answer &answer) {
+        auto list = readAnswer(answer);
+        if (!list) {
+            const std::size_t next = (address + 1) % m_settings.addresses.size();
+            if (m_preferred == address) {
+                m_preferred = next;
+            }
+            if (attemptsLeft > 1) {
+                fetchFrom(next, attemptsLeft - 1, done);
+                return;
+            }
+        }
+        done(std::move(list));
+    });
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/platform/http_log_client.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "platform/http_log_client_settings.h"
+#include "platform/http_requester.h"
+#include "platform/log_client.h"
+
+namespace parsleyglade {
+
+/**
+ * The log over HTTP, by the protocol in section 12 of docs/design.md.
+ *
+ * An append is sent once, to one address. It is refused only when no connection could be opened or the log answered 429 or 503;
+ * every other failure is unknown. A read is sent to each address in turn until one answers 200 or 410. After a failure the next
+ * call starts at the next address. Appends and reads use separate connections, so a read that waits delays no append.
+ */
+class http_log_client final : public log_client
+{
+public:
+    /** @param loop Must outlive this object. Callbacks of outstanding calls do not run after destruction. */
+    http_log_client(event_loop &loop, http_log_client_settings settings);
+    ~http_log_client() override;
+
+    void append(const std::string &stream, std::string payload, std::function<void(append_result)> done) override;
+    void read(const std::string &stream, log_offset from, std::size_t maximumRecords, duration wait, std::function<void(read_result)> done) override;
+
+private:
+    struct read_call;
+
+    void sendRead(const std::shared_ptr<read_call> &call);
+    void preferAddressAfter(std::size_t failed);
+
+    http_log_client_settings m_settings;
+    std::size_t m_preferred = 0;
+    http_requester m_appends;
+    http_requester m_reads;
+};
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/platform/http_requester.cpp
@@ -0,0 +1,302 @@
+#include "platform/http_requester.h"
+
+#include "platform/delayed_calls.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <list>
+#include <optional>
+
+namespace parsleyglade {
+
+namespace {
+
+struct connection_deleter
+{
+    void operator()(evhttp_connection *connection) const
+    {
+        evhttp_connection_free(connection);
+    }
+};
+
+struct endpoint_address
+{
+    std::string ip;
+    std::uint16_t port = 0;
+};
+
+std::optional<endpoint_address> parseAddress(const std::string &text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0) {
+        return std::nullopt;
+    }
+
+    endpoint_address address{text.substr(0, colon), 0};
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, address.port);
+    if (parsed.ec != std::errc{} || parsed.ptr != end || address.port == 0) {
+        return std::nullopt;
+    }
+
+    return address;
+}
+
+std::optional<evhttp_cmd_type> parseMethod(const std::string &method)
+{
+    constexpr std::array<std::pair<std::string_view, evhttp_cmd_type>, 6> methods{{{"GET", EVHTTP_REQ_GET},
+                                                                                   {"POST", EVHTTP_REQ_POST},
+                                                                                   {"PUT", EVHTTP_REQ_PUT},
+                                                                                   {"DELETE", EVHTTP_REQ_DELETE},
+                                                                                   {"HEAD", EVHTTP_REQ_HEAD},
+                                                                                   {"PATCH", EVHTTP_REQ_PATCH}}};
+    const auto *const found = std::find_if(methods.begin(), methods.end(), [&](const auto &row) { return row.first == method; });
+    if (found == methods.end()) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+std::string_view describeError(evhttp_request_error error)
+{
+    switch (error) {
+    case EVREQ_HTTP_TIMEOUT:
+        return "the connection timed out";
+    case EVREQ_HTTP_EOF:
+        return "the connection was closed before the whole answer arrived";
+    case EVREQ_HTTP_INVALID_HEADER:
+        return "the answer has an invalid header";
+    case EVREQ_HTTP_BUFFER_ERROR:
+        return "reading or writing failed";
+    case EVREQ_HTTP_REQUEST_CANCEL:
+        return "the request was cancelled";
+    case EVREQ_HTTP_DATA_TOO_LONG:
+        return "the answer is larger than allowed";
+    }
+    return "the request failed";
+}
+
+http_answer withoutAnswer(http_delivery delivery, std::string reason)
+{
+    http_answer answer;
+    answer.delivery = delivery;
+    answer.reason = std::move(reason);
+    return answer;
+}
+
+http_answer readAnswer(evhttp_request *request)
+{
+    http_answer answer;
+    answer.delivery = http_delivery::answered;
+    answer.status = evhttp_request_get_response_code(request);
+
+    const evkeyvalq *headers = evhttp_request_get_input_headers(request);
+    for (const evkeyval *field = headers->tqh_first; field != nullptr; field = field->next.tqe_next) {
+        answer.headers.emplace_back(field->key, field->value);
+    }
+
+    evbuffer *body = evhttp_request_get_input_buffer(request);
+    answer.body.resize(evbuffer_get_length(body));
+    evbuffer_remove(body, answer.body.data(), answer.body.size());
+    return answer;
+}
+
+} // namespace
+
+struct http_requester::state
+{
+    struct connection
+    {
+        state *owner = nullptr;
+        std::string address;
+        std::unique_ptr<evhttp_connection, connection_deleter> handle;
+        std::function<void(http_answer)> done; /**< Set while a request is outstanding. */
+        std::string reason;
+        timer_subscription timeLimit;
+        time_point idleSince;
+        bool broken = false;
+    };
+
+    state(event_loop &eventLoop, http_requester_settings values)
+        : loop(eventLoop)
+        , settings(values)
+        , calls(eventLoop)
+        , sweep(eventLoop.every(values.idleLimit, [this] { closeIdle(); }))
+    {
+    }
+
+    static bool hasSurplus(const connection &item)
+    {
+        bufferevent *transport = evhttp_connection_get_bufferevent(item.handle.get());
+        return evbuffer_get_length(bufferevent_get_input(transport)) > 0;
+    }
+
+    static bool isIdle(const connection &item)
+    {
+        return !item.done && !item.broken;
+    }
+
+    void closeIdle()
+    {
+        const time_point limit = loop.now() - settings.idleLimit;
+        connections.remove_if([limit](const auto &item) { return isIdle(*item) && item->idleSince < limit; });
+    }
+
+    connection *idleConnection(const std::string &address)
+    {
+        connection *newest = nullptr;
+        for (const auto &item : connections) {
+            if (isIdle(*item) && item->address == address && !hasSurplus(*item) && (newest == nullptr || item->idleSince > newest->idleSince)) {
+                newest = item.get();
+            }
+        }
+        return newest;
+    }
+
+    connection *openConnection(const std::string &address, const endpoint_address &parsed)
+    {
+        if (connections.size() >= settings.maximumConnections) {
+            const auto idle = std::find_if(connections.begin(), connections.end(), [](const auto &item) { return isIdle(*item); });
+            if (idle == connections.end()) {
+                return nullptr;
+            }
+            connections.erase(idle);
+        }
+
+        auto item = std::make_unique<connection>();
+        item->owner = this;
+        item->address = address;
+        item->handle.reset(evhttp_connection_base_bufferevent_new(loop.base(), nullptr, nullptr, parsed.ip.c_str(), parsed.port));
+        if (!item->handle) {
+            return nullptr;
+        }
+
+        evhttp_connection_set_max_headers_size(item->handle.get(), static_cast<ev_ssize_t>(settings.maximumHeaderBytes));
+        evhttp_connection_set_max_body_size(item->handle.get(), static_cast<ev_ssize_t>(settings.maximumBodyBytes));
+        connections.push_back(std::move(item));
+        return connections.back().get();
+    }
+
+    void deliver(std::function<void(http_answer)> done, http_answer answer)
+    {
+        calls.after(duration::zero(), [done = std::move(done), answer = std::move(answer)]() mutable { done(std::move(answer)); });
+    }
+
+    void finish(connection &item, http_answer answer, bool reusable)
+    {
+        if (!item.done) {
+            return;
+        }
+
+        item.timeLimit.cancel();
+        item.idleSince = loop.now();
+        item.broken = !reusable;
+        deliver(std::exchange(item.done, nullptr), std::move(answer));
+
+        // evhttp still uses the connection when it calls back, so it is freed in a later turn of the loop.
+        if (item.broken) {
+            calls.after(duration::zero(), [this] { connections.remove_if([](const auto &candidate) { return candidate->broken; }); });
+        }
+    }
+
+    static void onError(evhttp_request_error error, void *argument)
+    {
+        static_cast<connection *>(argument)->reason = describeError(error);
+    }
+
+    static void onAnswer(evhttp_request *request, void *argument)
+    {
+        auto *item = static_cast<connection *>(argument);
+        if (request == nullptr) {
+            const std::string reason = item->reason.empty() ? "the request failed" : item->reason;
+            item->owner->finish(*item, withoutAnswer(http_delivery::failed, reason), false);
+            return;
+        }
+
+        // evhttp hands back the request without a response code only when it could not connect; after that it passes no request.
+        if (evhttp_request_get_response_code(request) == 0) {
+            item->owner->finish(*item, withoutAnswer(http_delivery::not_sent, "the connection was refused"), false);
+            return;
+        }
+
+        item->owner->finish(*item, readAnswer(request), !hasSurplus(*item));
+    }
+
+    void start(connection &item, const http_request &request, evhttp_cmd_type method, std::function<void(http_answer)> done)
+    {
+        item.done = std::move(done);
+        item.reason.clear();
+        item.timeLimit = loop.after(request.timeLimit,
+                                    [this, &item] { finish(item, withoutAnswer(http_delivery::failed, "no whole answer within the time limit"), false); });
+
+        // The time limit above also covers answers that trickle; the limit of evhttp only covers silence and must not fire first.
+        constexpr std::int64_t microsecondsPerSecond = 1'000'000;
+        constexpr std::int64_t marginSeconds = 5;
+        const timeval silence{static_cast<time_t>(request.timeLimit.count() / microsecondsPerSecond + marginSeconds), 0};
+        evhttp_connection_set_timeout_tv(item.handle.get(), &silence);
+
+        evhttp_request *outgoing = evhttp_request_new(onAnswer, &item);
+        evhttp_request_set_error_cb(outgoing, onError);
+        evkeyvalq *headers = evhttp_request_get_output_headers(outgoing);
+        bool valid = evhttp_add_header(headers, "Host", item.address.c_str()) == 0;
+        for (const auto &[headerName, value] : request.headers) {
+            valid = evhttp_add_header(headers, headerName.c_str(), value.c_str()) == 0 && valid;
+        }
+        if (!valid) {
+            evhttp_request_free(outgoing);
+            finish(item, withoutAnswer(http_delivery::not_sent, "a header of the request is invalid"), false);
+            return;
+        }
+        evbuffer_add(evhttp_request_get_output_buffer(outgoing), request.body.data(), request.body.size());
+
+        if (evhttp_make_request(item.handle.get(), outgoing, method, request.target.c_str()) != 0) {
+            finish(item, withoutAnswer(http_delivery::not_sent, "no connection could be opened"), false);
+        }
+    }
+
+    event_loop &loop;
+    http_requester_settings settings;
+    std::list<std::unique_ptr<connection>> connections;
+    delayed_calls calls;
+    timer_subscription sweep;
+};
+
+http_requester::http_requester(event_loop &loop, http_requester_settings settings)
+    : m_state(std::make_unique<state>(loop, settings))
+{
+}
+
+http_requester::~http_requester() = default;
+
+void http_requester::send(const http_request &request, std::function<void(http_answer)> done)
+{
+    const auto address = parseAddress(request.address);
+    const auto method = parseMethod(request.method);
+    if (!address || !method) {
+        m_state->deliver(std::move(done), withoutAnswer(http_delivery::not_sent, address ? "unknown method" : "the address is not IP:PORT"));
+        return;
+    }
+
+    auto *connection = m_state->idleConnection(request.address);
+    if (connection == nullptr) {
+        connection = m_state->openConnection(request.address, *address);
+    }
+    if (connection == nullptr) {
+        m_state->deliver(std::move(done), withoutAnswer(http_delivery::not_sent, "too many connections"));
+        return;
+    }
+
+    m_state->start(*connection, request, *method, std::move(done));
+}
+
+std::size_t http_requester::connectionCount() const
+{
+    return m_state->connections.size();
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/tests/platform/loop_support.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "runtime/event_loop.h"
+
+#include <functional>
+#include <optional>
+
+namespace parsleyglade {
+
+/** Runs the loop until a call of the form start(callback) has called back, or for ten seconds; returns the callback's argument. */
+template <typename Result> std::optional<Result> runUntilDone(event_loop &loop, const std::function<void(std::function<void(Result)>)> &start)
+{
+    std::optional<Result> result;
+    start([&](Result value) {
+        result = std::move(value);
+        loop.stop();
+    });
+    const auto limit = loop.after(std::chrono::seconds{10}, [&] { loop.stop(); });
+    loop.run();
+    return result;
+}
+
+/** Runs the loop for a time. */
+inline void runFor(event_loop &loop, duration time)
+{
+    const auto end = loop.after(time, [&] { loop.stop(); });
+    loop.run();
+}
+
+} // namespace parsleyglade
