--- /dev/null
+++ b/src/platform/fake_log.cpp
@@ -0,0 +1,314 @@
+#include "platform/fake_log.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace parsleyglade {
+
+namespace {
+
+/** The bucket holds the appends of this time, so a burst may exceed the rate by that many. */
+constexpr double bucketSeconds = 0.1;
+
+double bucketSize(double appendsPerSecond)
+{
+    return std::max(1.0, appendsPerSecond * bucketSeconds);
+}
+
+append_result refused(std::string reason, duration retryAfter = duration::zero())
+{
+    return {append_status::refused, 0, std::move(reason), retryAfter};
+}
+
+append_result unknown(std::string reason)
+{
+    return {append_status::unknown, 0, std::move(reason), duration::zero()};
+}
+
+read_result unavailable(std::string reason)
+{
+    read_result result;
+    result.reason = std::move(reason);
+    return result;
+}
+
+} // namespace
+
+struct fake_log::waiting_read
+{
+    log_offset from = 0;
+    std::size_t maximumRecords = 0;
+    duration wait{};
+    std::function<void(read_result)> done;
+    bool answered = false;
+};
+
+fake_log::fake_log(timer_service &timers, fake_log_settings settings)
+    : m_timers(timers)
+    , m_settings(settings)
+    , m_random(settings.seed)
+    , m_tokens(bucketSize(m_faults.appendsPerSecond))
+    , m_tokensAt(timers.now())
+    , m_calls(timers)
+{
+}
+
+fake_log::~fake_log() = default;
+
+const fake_log_faults &fake_log::faults() const
+{
+    return m_faults;
+}
+
+void fake_log::setFaults(const fake_log_faults &faults)
+{
+    m_faults = faults;
+    if (!m_faults.outage) {
+        return;
+    }
+
+    for (auto &[name, stream] : m_streams) {
+        const auto waiting = std::exchange(stream.waiting, {});
+        for (const auto &call : waiting) {
+            answerRead(name, call, 0);
+        }
+    }
+}
+
+void fake_log::append(const std::string &stream, std::string payload, std::function<void(append_result)> done)
+{
+    m_calls.after(halfLatency(), [this, stream, payload = std::move(payload), done = std::move(done)] { arrive(stream, payload, done); });
+}
+
+void fake_log::arrive(const std::string &stream, const std::string &payload, const std::function<void(append_result)> &done)
+{
+    if (m_faults.outage) {
+        answer(halfLatency(), refused("the log is down"), done);
+        return;
+    }
+    if (payload.size() > m_settings.maximumPayloadBytes) {
+        answer(halfLatency(), refused("the record is too large"), done);
+        return;
+    }
+    if (const duration retryAfter = takeToken(); retryAfter > duration::zero()) {
+        answer(halfLatency(), refused("too many appends", retryAfter), done);
+        return;
+    }
+
+    if (chance(m_faults.loseAnswers)) {
+        write(stream, payload);
+        answer(randomDuration(m_settings.lostAnswerLimit), unknown("the answer was lost"), done);
+        return;
+    }
+    if (chance(m_faults.lateAppends)) {
+        const duration answered = randomDuration(m_settings.lostAnswerLimit);
+        answer(answered, unknown("the answer was lost"), done);
+        m_calls.after(answered + randomDuration(m_settings.lateLimit), [this, stream, payload] { write(stream, payload); });
+        return;
+    }
+
+    const log_offset offset = write(stream, payload);
+    if (chance(m_faults.duplicates)) {
+        m_calls.after(randomDuration(m_settings.lateLimit), [this, stream, payload] { write(stream, payload); });
+    }
+    answer(halfLatency(), {append_status::appended, offset, {}, duration::zero()}, done);
+}
+
+void fake_log::answer(duration delay, append_result result, std::function<void(append_result)> done)
+{
+    m_calls.after(delay, [this, result = std::move(result), done = std::move(done)] {
+        // An outage that began after the append took effect loses its answer.
+        if (m_faults.outage && result.status == append_status::appended) {
+            done(unknown("the log went down before it answered"));
+            return;
+        }
+        done(result);
+    });
+}
+
+void fake_log::read(const std::string &stream, log_offset from, std::size_t maximumRecords, duration wait, std::function<void(read_result)> done)
+{
+    auto call = std::make_shared<waiting_read>();
+    call->from = from;
+    call->maximumRecords = maximumRecords;
+    call->wait = wait;
+    call->done = std::move(done);
+    m_calls.after(halfLatency(), [this, stream, call] { arriveRead(stream, call); });
+}
+
+void fake_log::arriveRead(const std::string &stream, const std::shared_ptr<waiting_read> &call)
+{
+    stream_state &state = m_streams[stream];
+    applyRetention(state);
+    const log_offset current = head(stream);
+
+    if (!m_faults.outage && call->from >= state.earliest && chance(m_faults.staleReads)) {
+        const auto missing = std::uniform_int_distribution<std::uint64_t>(1, std::max<std::size_t>(1, m_settings.staleRecords))(m_random);
+        answerRead(stream, call, std::max(state.earliest, current - std::min(current, missing)));
+        return;
+    }
+
+    if (m_faults.outage || call->from < current || call->wait <= duration::zero()) {
+        answerRead(stream, call, current);
+        return;
+    }
+
+    state.waiting.push_back(call);
+    m_calls.after(call->wait, [this, stream, call] {
+        if (!call->answered) {
+            m_streams[stream].waiting.remove(call);
+            answerRead(stream, call, head(stream));
+        }
+    });
+}
+
+void fake_log::answerRead(const std::string &stream, const std::shared_ptr<waiting_read> &call, log_offset head)
+{
+    call->answered = true;
+    const stream_state &state = m_streams[stream];
+
+    read_result result;
+    result.earliest = state.earliest;
+    result.head = head;
+    if (m_faults.outage) {
+        result = unavailable("the log is down");
+    } else if (call->from < state.earliest) {
+        result.status = read_status::trimmed;
+        result.reason = "offset " + std::to_string(call->from) + " has been removed by retention";
+    } else {
+        result.status = read_status::ok;
+        std::size_t bytes = 0;
+        for (log_offset offset = call->from; offset < head && result.records.size() < call->maximumRecords; ++offset) {
+            const std::string &payload = state.records[offset - state.earliest].payload;
+            bytes += payload.size();
+            if (bytes > m_settings.maximumReadBytes && !result.records.empty()) {
+                break;
+            }
+            result.records.push_back({offset, payload});
+        }
+    }
+
+    m_calls.after(halfLatency(), [this, result = std::move(result), call] {
+        const auto done = std::move(call->done);
+        done(m_faults.outage ? unavailable("the log is down") : result);
+    });
+}
+
+log_offset fake_log::write(const std::string &stream, std::string payload)
+{
+    stream_state &state = m_streams[stream];
+    const log_offset offset = state.earliest + state.records.size();
+    state.records.push_back({std::move(payload), m_timers.now()});
+    ++m_writeCount;
+    applyRetention(state);
+
+    std::list<std::shared_ptr<waiting_read>> due;
+    for (auto waiting = state.waiting.begin(); waiting != state.waiting.end();) {
+        const auto next = std::next(waiting);
+        if ((*waiting)->from <= offset) {
+            due.splice(due.end(), state.waiting, waiting);
+        }
+        waiting = next;
+    }
+    for (const auto &call : due) {
+        answerRead(stream, call, offset + 1);
+    }
+
+    return offset;
+}
+
+void fake_log::trim(const std::string &stream, log_offset before)
+{
+    stream_state &state = m_streams[stream];
+    while (!state.records.empty() && state.earliest < before) {
+        state.records.pop_front();
+        ++state.earliest;
+    }
+}
+
+log_offset fake_log::head(const std::string &stream) const
+{
+    const auto found = m_streams.find(stream);
+    return found == m_streams.end() ? 0 : found->second.earliest + found->second.records.size();
+}
+
+log_offset fake_log::earliest(const std::string &stream) const
+{
+    const auto found = m_streams.find(stream);
+    return found == m_streams.end() ? 0 : found->second.earliest;
+}
+
+std::vector<log_record> fake_log::records(const std::string &stream) const
+{
+    std::vector<log_record> result;
+    const auto found = m_streams.find(stream);
+    if (found == m_streams.end()) {
+        return result;
+    }
+
+    for (const stored_record &record : found->second.records) {
+        result.push_back({found->second.earliest + result.size(), record.payload});
+    }
+    return result;
+}
+
+std::vector<std::string> fake_log::streamNames() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, stream] : m_streams) {
+        if (stream.earliest + stream.records.size() > 0) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+std::uint64_t fake_log::writeCount() const
+{
+    return m_writeCount;
+}
+
+bool fake_log::chance(double share)
+{
+    return share > 0 && std::uniform_real_distribution<double>(0, 1)(m_random) < share;
+}
+
+duration fake_log::randomDuration(duration limit)
+{
+    return duration{std::uniform_int_distribution<duration::rep>(1, std::max<duration::rep>(1, limit.count()))(m_random)};
+}
+
+duration fake_log::halfLatency() const
+{
+    return m_faults.latency / 2;
+}
+
+/** Takes the right to append from the token bucket. Returns how long to wait when there is none, else zero. */
+duration fake_log::takeToken()
+{
+    if (m_faults.appendsPerSecond <= 0) {
+        return duration::zero();
+    }
+
+    const time_point now = m_timers.now();
+    m_tokens = std::min(bucketSize(m_faults.appendsPerSecond), m_tokens + toSeconds(now - m_tokensAt) * m_faults.appendsPerSecond);
+    m_tokensAt = now;
+    if (m_tokens >= 1) {
+        m_tokens -= 1;
+        return duration::zero();
+    }
+
+    const double missingMilliseconds = (1 - m_tokens) / m_faults.appendsPerSecond * 1000;
+    return std::chrono::milliseconds{static_cast<std::int64_t>(std::ceil(missingMilliseconds))};
+}
+
+void fake_log::applyRetention(stream_state &stream)
+{
+    const time_point oldest = m_timers.now() - m_settings.retentionAge;
+    while (stream.records.size() > m_settings.retentionRecords || (!stream.records.empty() && stream.records.front().written < oldest)) {
+        stream.records.pop_front();
+        ++stream.earliest;
+    }
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/platform/fake_log.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "platform/delayed_calls.h"
+#include "platform/fake_log_faults.h"
+#include "platform/fake_log_settings.h"
+#include "platform/log_client.h"
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+
+namespace parsleyglade {
+
+/**
+ * The platform's log in memory, with faults. Time comes from a timer service and every random choice from one seeded generator,
+ * so that the same calls at the same times give the same history.
+ * @see fake_log_client, standin_log
+ */
+class fake_log
+{
+public:
+    /** @param timers Must outlive this object. */
+    fake_log(timer_service &timers, fake_log_settings settings);
+    ~fake_log();
+    fake_log(const fake_log &) = delete;
+    fake_log &operator=(const fake_log &) = delete;
+
+    const fake_log_faults &faults() const;
+
+    /** Changes the faults at once. An outage ends the reads that wait. */
+    void setFaults(const fake_log_faults &faults);
+
+    /** Appends as a caller over the network would. @see log_client::append */
+    void append(const std::string &stream, std::string payload, std::function<void(append_result)> done);
+
+    /** Reads as a caller over the network would. @see log_client::read */
+    void read(const std::string &stream, log_offset from, std::size_t maximumRecords, duration wait, std::function<void(read_result)> done);
+
+    /** Writes a record at once, without limits and faults. Returns its offset. */
+    log_offset write(const std::string &stream, std::string payload);
+
+    /** Removes the records below an offset; at most all of them. */
+    void trim(const std::string &stream, log_offset before);
+
+    /** Offset that the next record of the stream will get. */
+    log_offset head(const std::string &stream) const;
+
+    /** Offset of the oldest record kept; equal to head() when none is. */
+    log_offset earliest(const std::string &stream) const;
+
+    /** The records kept, in order of offset. */
+    std::vector<log_record> records(const std::string &stream) const;
+
+    /** Names of the streams written to so far. */
+    std::vector<std::string> streamNames() const;
+
+    /** Records written to all streams since the start. */
+    std::uint64_t writeCount() const;
+
+private:
+    struct stored_record
+    {
+        std::string payload;
+        time_point written;
+    };
+
+    struct waiting_read;
+
+    struct stream_state
+    {
+        log_offset earliest = 0;
+        std::deque<stored_record> records;
+        std::list<std::shared_ptr<waiting_read>> waiting;
+    };
+
+    bool chance(double share);
+    duration randomDuration(duration limit);
+    duration halfLatency() const;
+    duration takeToken();
+    void arrive(const std::string &stream, const std::string &payload, const std::function<void(append_result)> &done);
+    void answer(duration delay, append_result result, std::function<void(append_result)> done);
+    void arriveRead(const std::string &stream, const std::shared_ptr<waiting_read> &call);
+    void answerRead(const std::string &stream, const std::shared_ptr<waiting_read> &call, log_offset head);
+    void applyRetention(stream_state &stream);
+
+    timer_service &m_timers;
+    fake_log_settings m_settings;
+    fake_log_faults m_faults;
+    std::mt19937_64 m_random;
+    std::map<std::string, stream_state> m_streams;
+    double m_tokens = 0;
+    time_point m_tokensAt;
+    std::uint64_t m_writeCount = 0;
+    delayed_calls m_calls;
+};
+
+} // namespace parsleyglade
