--- /dev/null
+++ b/tests/placement/run_time_estimator_test.cpp
@@ -0,0 +1,61 @@
+#include "placement/placement.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace parsleyglade;
+using namespace std::chrono_literals;
+
+// Guards against trusting a declared time that is wrong by up to ten times once the real time has been seen.
+TEST_CASE("an observed run time replaces the declared one")
+{
+    rc::prop("the estimate is near the observed time, whatever was declared", [] {
+        const duration actual{*rc::gen::inRange<std::int64_t>(1'000, 100'000'000)};
+        const auto percent = *rc::gen::inRange<std::int64_t>(10, 1'001);
+        const duration declared{actual.count() * percent / 100};
+        run_time_estimator estimator;
+        const time_point now{1s};
+
+        RC_ASSERT(estimator.estimate("route", declared, now).expected == declared);
+        estimator.observe("route", actual, now);
+        const run_time_estimate learned = estimator.estimate("route", declared, now + 3s);
+        RC_ASSERT(std::abs((learned.expected - actual).count()) <= 1);
+        RC_ASSERT(learned.age == 3s);
+        RC_ASSERT(learned.observations == 1U);
+    });
+}
+
+// Guards against a short route that counts as long because a few of its jobs ran long, and against a long route that passes as short.
+TEST_CASE("classes follow what is usual in the pool")
+{
+    run_time_estimator estimator;
+    time_point now{1s};
+    for (int index = 0; index < 2'000; ++index) {
+        now += 10ms;
+        estimator.observe("usual", index % 50 == 0 ? 10s : 200ms, now);
+    }
+    estimator.observeRunning("watch", 4s, now);
+
+    CHECK(estimator.estimate("usual", 20s, now).jobClass == job_class::short_job);
+    CHECK(estimator.estimate("watch", 100ms, now).jobClass == job_class::long_job);
+    CHECK(estimator.estimate("new", 200ms, now).jobClass == job_class::short_job);
+    CHECK(estimator.classOf(3s) == job_class::long_job);
+    CHECK(estimator.meanRunTime(job_class::long_job) > 20 * estimator.meanRunTime(job_class::short_job));
+}
+
+// Guards against old knowledge that outvotes what is seen now.
+TEST_CASE("observations lose weight with age")
+{
+    const auto afterPause = [](duration pause) {
+        run_time_estimator estimator;
+        time_point now{1s};
+        for (int index = 0; index < 20; ++index) {
+            estimator.observe("route", 100ms, now);
+        }
+        estimator.observe("route", 200ms, now + pause);
+        return estimator.estimate("route", 1s, now + pause).expected;
+    };
+
+    CHECK(afterPause(1s) < 110ms);
+    CHECK(afterPause(2h) > 190ms);
+}
--- /dev/null
+++ b/tests/placement/select_endpoint_test.cpp
@@ -0,0 +1,131 @@
+#include "placement/placement.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace parsleyglade;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::array<placement_policy, 4> policies{least_expected_work{}, two_queue_ageing{}, least_connections{}, round_robin{}};
+
+placement_request requestOf(job_class jobClass, duration waited = 0s)
+{
+    return {jobClass, waited, {200ms, 10s}};
+}
+
+endpoint_view randomEndpoint(std::mt19937_64 &random, time_point now)
+{
+    endpoint_view endpoint("host", endpoint_limits{});
+    if (random() % 8 != 0) {
+        endpoint.probeSucceeded(now - duration{random() % 4'000'000});
+    }
+    endpoint.setDrained(random() % 5 == 0);
+    endpoint.setLeaving(random() % 5 == 0);
+    endpoint.ejection().ejectedUntil = now + duration{random() % 2'000'000} - 1s;
+    const std::uint32_t peerLong = static_cast<std::uint32_t>(random() % 3);
+    endpoint.setPeerLoad({incarnation_id{1}, static_cast<std::uint32_t>(peerLong + random() % 6), peerLong, now - duration{random() % 6'000'000}});
+    return endpoint;
+}
+
+} // namespace
+
+// Guards against new work on an endpoint that is drained, leaving, ejected or silent, from any policy.
+TEST_CASE("an endpoint that takes no work is never selected")
+{
+    rc::prop("for every policy", [](std::uint64_t seed) {
+        std::mt19937_64 random(seed);
+        const time_point now{100s};
+        std::vector<endpoint_view> pool;
+        for (std::uint64_t left = 1 + random() % 12; left > 0; --left) {
+            pool.push_back(randomEndpoint(random, now));
+        }
+        for (placement_policy policy : policies) {
+            for (const job_class jobClass : {job_class::short_job, job_class::long_job}) {
+                const auto selected = selectEndpoint(policy, pool, requestOf(jobClass, duration{random() % 10'000'000}), now, random);
+                if (!selected) {
+                    RC_ASSERT(selected.lastReason().code == result_code::no_endpoint);
+                    RC_ASSERT(!selected.lastReason().reason.empty());
+                    continue;
+                }
+                const endpoint_view &endpoint = pool.at(*selected);
+                RC_ASSERT(!endpoint.isDrained());
+                RC_ASSERT(!endpoint.isLeaving());
+                RC_ASSERT(endpoint.hasRecentProbe(now));
+                RC_ASSERT(!endpoint.ejection().isEjected(now));
+                RC_ASSERT(endpoint.hasSlot(job_class::short_job, now));
+            }
+        }
+    });
+}
+
+// Guards against a probe age limit that drifts: work must stop 2 s after the last good probe.
+TEST_CASE("an endpoint is stale once its last good probe is older than 2 s")
+{
+    endpoint_view endpoint("host", endpoint_limits{});
+    const time_point probed{5s};
+    CHECK_FALSE(endpoint.hasRecentProbe(probed));
+    endpoint.probeSucceeded(probed);
+    CHECK(endpoint.acceptsWork(probed + 2s));
+    CHECK_FALSE(endpoint.acceptsWork(probed + 2s + 1us));
+}
+
+// Guards against short jobs that wait behind an endpoint full of long ones.
+TEST_CASE("long jobs never hold more than their share of slots")
+{
+    rc::prop("with random arrivals, ends and reports of others", [](std::uint64_t seed) {
+        std::mt19937_64 random(seed);
+        time_point now{1s};
+        std::vector<endpoint_view> pool(1 + random() % 6, endpoint_view("host", endpoint_limits{.longJobSlotShare = static_cast<double>(random() % 9) / 8.0}));
+        placement_policy policy;
+        for (int step = 0; step < 300; ++step) {
+            now += 1ms;
+            endpoint_view &touched = pool[random() % pool.size()];
+            for (endpoint_view &endpoint : pool) {
+                endpoint.probeSucceeded(now);
+            }
+            if (random() % 4 == 0) {
+                const auto peerLong = static_cast<std::uint32_t>(random() % 3);
+                touched.setPeerLoad({incarnation_id{1}, peerLong + 1, peerLong, now});
+            }
+            const job_class jobClass = random() % 2 == 0 ? job_class::long_job : job_class::short_job;
+            if (random() % 3 == 0 && touched.ownInFlight(jobClass) > 0) {
+                touched.jobEnded(jobClass);
+                continue;
+            }
+            const auto selected = selectEndpoint(policy, pool, requestOf(jobClass), now, random);
+            if (!selected) {
+                continue;
+            }
+            endpoint_view &endpoint = pool[*selected];
+            endpoint.jobStarted(jobClass);
+            const auto [shortLoad, longLoad] = endpoint.load(now);
+            RC_ASSERT(shortLoad + longLoad <= endpoint.limits().slots);
+            if (jobClass == job_class::long_job) {
+                RC_ASSERT(longLoad <= endpoint.longSlots());
+            }
+        }
+    });
+}
+
+// Guards against a choice that ignores the load of other entry hosts or takes their old counts at full value.
+TEST_CASE("other entry hosts' counts matter and fade with age")
+{
+    std::mt19937_64 random(7);
+    const time_point now{10s};
+    std::vector<endpoint_view> pool(2, endpoint_view("host", endpoint_limits{}));
+    for (endpoint_view &endpoint : pool) {
+        endpoint.probeSucceeded(now);
+    }
+    pool[0].setPeerLoad({incarnation_id{1}, 4, 0, now});
+    placement_policy policy;
+    for (int job = 0; job < 20; ++job) {
+        CHECK(*selectEndpoint(policy, pool, requestOf(job_class::short_job), now, random) == 1);
+    }
+
+    CHECK(pool[0].load(now + 2500ms)[0] == Approx(2.0));
+    CHECK(pool[0].load(now + 5s)[0] == Approx(0.0));
+    pool[0].removePeer(incarnation_id{1});
+    CHECK(pool[0].load(now)[0] == Approx(0.0));
+}
