--- /dev/null
+++ b/src/placement/admission_queue.cpp
@@ -0,0 +1,248 @@
+#include "placement/admission_queue.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace parsleyglade {
+
+namespace {
+
+/**
+ * Latest start with which the job completes by its deadline if it runs as long as expected.
+ *
+ * At most half of the allowed time is kept for the run. A wrong estimate above the deadline would otherwise refuse every job of its route, and no run
+ * would ever correct it.
+ */
+time_point latestStart(const queued_job &job)
+{
+    const duration allowed = std::max(job.deadline - job.arrivedAt, duration::zero());
+    return job.deadline - std::min(job.expectedRun, allowed / 2);
+}
+
+double responseRatio(const queued_job &job, time_point now)
+{
+    return toSeconds(now - job.arrivedAt) / std::max(toSeconds(job.expectedRun), 0.001);
+}
+
+} // namespace
+
+admission_queue::admission_queue(admission_settings settings)
+    : m_settings(settings)
+    , m_retryAfter(settings.retryAfter)
+{
+    assert(settings.maximumJobs > 0 && settings.maximumJobsOfCaller > 0);
+    assert(settings.urgentReserve >= 0.0 && settings.urgentReserve < 1.0);
+    for (std::size_t lane = 0; lane < laneCount; ++lane) {
+        m_lanes.emplace_back(settings.quantum);
+        m_drainRates.emplace_back(settings.drainGain);
+    }
+}
+
+void admission_queue::setShare(caller_id caller, double share)
+{
+    assert(share > 0.0);
+    caller_state &state = m_callers[caller];
+    if (state.waiting > 0) {
+        m_activeShares += share - state.share;
+    }
+    state.share = share;
+}
+
+admission_verdict admission_queue::offer(const queued_job &job, time_point now, std::mt19937_64 &random)
+{
+    assert(!m_locations.contains(job.id));
+    const result_code code = check(job, now);
+    countOffer(code != result_code::ok, now);
+    if (code != result_code::ok) {
+        return {code, m_retryAfter.next(m_refused / std::max(m_accepted, 1.0), random)};
+    }
+
+    caller_state &caller = m_callers[job.caller];
+    if (caller.waiting == 0) {
+        m_activeShares += caller.share;
+    }
+    caller.waiting += 1;
+
+    const std::size_t lane = laneOf(job.urgency, job.jobClass);
+    if (m_lanes[lane].isEmpty()) {
+        m_drainRates[lane].started(now);
+    }
+    m_locations.emplace(job.id, location{lane, m_lanes[lane].push(job, caller.share)});
+    m_expiries.emplace(latestStart(job), job.id);
+    return {};
+}
+
+std::optional<queued_job> admission_queue::take(job_class_set free, time_point now)
+{
+    const auto lane = nextLane(free, now);
+    if (!lane) {
+        return std::nullopt;
+    }
+
+    const queued_job job = m_lanes[*lane].pop();
+    m_drainRates[*lane].taken(now);
+    m_locations.erase(job.id);
+    forget(job);
+    return job;
+}
+
+bool admission_queue::cancel(std::uint64_t id)
+{
+    if (!m_locations.contains(id)) {
+        return false;
+    }
+
+    removeAt(id);
+    return true;
+}
+
+std::vector<queued_job> admission_queue::expire(time_point now)
+{
+    std::vector<queued_job> expired;
+    while (!m_expiries.empty() && m_expiries.begin()->first < now) {
+        expired.push_back(removeAt(m_expiries.begin()->second));
+    }
+
+    return expired;
+}
+
+std::optional<time_point> admission_queue::nextExpiry() const
+{
+    return m_expiries.empty() ? std::nullopt : std::optional{m_expiries.begin()->first};
+}
+
+std::optional<time_point> admission_queue::oldestArrival(job_class jobClass) const
+{
+    std::optional<time_point> oldest;
+    for (const urgency_class urgency : {urgency_class::urgent, urgency_class::normal}) {
+        const deficit_round_robin &lane = m_lanes[laneOf(urgency, jobClass)];
+        if (!lane.isEmpty()) {
+            const time_point arrival = lane.oldest().arrivedAt;
+            oldest = oldest ? std::min(*oldest, arrival) : arrival;
+        }
+    }
+
+    return oldest;
+}
+
+std::optional<duration> admission_queue::expectedWait(const queued_job &job, time_point now) const
+{
+    const std::size_t index = laneOf(job.urgency, job.jobClass);
+    const deficit_round_robin &lane = m_lanes[index];
+    if (lane.isEmpty()) {
+        return duration::zero();
+    }
+
+    const double share = shareOf(job.caller);
+    const std::size_t own = lane.sizeOf(job.caller);
+    const double competing = lane.activeShares() + (own == 0 ? share : 0.0);
+    const double ahead = std::min(static_cast<double>(lane.size()), static_cast<double>(own) * competing / share);
+    return m_drainRates[index].expectedWait(ahead + 1.0, now);
+}
+
+std::size_t admission_queue::sizeOf(caller_id caller) const
+{
+    const auto found = m_callers.find(caller);
+    return found == m_callers.end() ? 0 : found->second.waiting;
+}
+
+std::size_t admission_queue::laneOf(urgency_class urgency, job_class jobClass)
+{
+    return static_cast<std::size_t>(urgency) * jobClassCount + static_cast<std::size_t>(jobClass);
+}
+
+result_code admission_queue::check(const queued_job &job, time_point now) const
+{
+    const double usable = job.urgency == urgency_class::urgent ? 1.0 : 1.0 - m_settings.urgentReserve;
+    if (static_cast<double>(size() + 1) > usable * static_cast<double>(m_settings.maximumJobs)) {
+        return result_code::queue_full;
+    }
+
+    const auto caller = m_callers.find(job.caller);
+    if (caller != m_callers.end() && caller->second.waiting >= limitOf(caller->second)) {
+        return result_code::caller_over_limit;
+    }
+
+    const duration wait = expectedWait(job, now).value_or(duration::zero());
+    return now + wait > latestStart(job) ? result_code::deadline_unreachable : result_code::ok;
+}
+
+std::size_t admission_queue::limitOf(const caller_state &caller) const
+{
+    // Leaves room for one further caller of the same share, so that a storm cannot fill the queue before another caller arrives.
+    const double part = caller.share / (m_activeShares + caller.share);
+    const auto fair = static_cast<std::size_t>(part * static_cast<double>(m_settings.maximumJobs));
+    return std::clamp<std::size_t>(fair, 1, m_settings.maximumJobsOfCaller);
+}
+
+double admission_queue::shareOf(caller_id caller) const
+{
+    const auto found = m_callers.find(caller);
+    return found == m_callers.end() ? 1.0 : found->second.share;
+}
+
+std::optional<std::size_t> admission_queue::bestLane(urgency_class urgency, job_class_set free, time_point now) const
+{
+    std::optional<std::size_t> best;
+    double bestRatio = 0.0;
+    for (const job_class jobClass : {job_class::short_job, job_class::long_job}) {
+        const std::size_t lane = laneOf(urgency, jobClass);
+        if (!free.contains(jobClass) || m_lanes[lane].isEmpty()) {
+            continue;
+        }
+
+        const double ratio = responseRatio(m_lanes[lane].oldest(), now);
+        if (!best || ratio > bestRatio) {
+            best = lane;
+            bestRatio = ratio;
+        }
+    }
+
+    return best;
+}
+
+std::optional<std::size_t> admission_queue::nextLane(job_class_set free, time_point now)
+{
+    const auto urgent = bestLane(urgency_class::urgent, free, now);
+    const auto normal = bestLane(urgency_class::normal, free, now);
+    if (urgent && (!normal || m_urgentInRow < m_settings.urgentRun)) {
+        m_urgentInRow = normal ? m_urgentInRow + 1 : 0;
+        return urgent;
+    }
+
+    m_urgentInRow = 0;
+    return normal;
+}
+
+void admission_queue::countOffer(bool isRefused, time_point now)
+{
+    const double weight = std::exp2(-toSeconds(now - m_countedAt) / toSeconds(m_settings.excessHalfLife));
+    m_accepted = m_accepted * weight + (isRefused ? 0.0 : 1.0);
+    m_refused = m_refused * weight + (isRefused ? 1.0 : 0.0);
+    m_countedAt = now;
+}
+
+void admission_queue::forget(const queued_job &job)
+{
+    m_expiries.erase({latestStart(job), job.id});
+    caller_state &caller = m_callers.at(job.caller);
+    caller.waiting -= 1;
+    if (caller.waiting == 0) {
+        m_activeShares -= caller.share;
+    }
+    if (isEmpty()) {
+        m_activeShares = 0.0;
+    }
+}
+
+queued_job admission_queue::removeAt(std::uint64_t id)
+{
+    const location where = m_locations.at(id);
+    m_locations.erase(id);
+    const queued_job job = m_lanes[where.lane].remove(where.position);
+    forget(job);
+    return job;
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/placement/drain_rate.cpp
@@ -0,0 +1,36 @@
+#include "placement/drain_rate.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace parsleyglade {
+
+drain_rate::drain_rate(double gain)
+    : m_gain(gain)
+{
+    assert(gain > 0.0 && gain <= 1.0);
+}
+
+void drain_rate::started(time_point now)
+{
+    m_since = now;
+}
+
+void drain_rate::taken(time_point now)
+{
+    const double interval = std::max(toSeconds(now - m_since), 0.0);
+    m_meanSeconds = m_meanSeconds ? *m_meanSeconds + m_gain * (interval - *m_meanSeconds) : interval;
+    m_since = now;
+}
+
+std::optional<duration> drain_rate::expectedWait(double jobsAhead, time_point now) const
+{
+    if (!m_meanSeconds) {
+        return std::nullopt;
+    }
+
+    const double seconds = jobsAhead * *m_meanSeconds + std::max(toSeconds(now - m_since) - *m_meanSeconds, 0.0);
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/tests/placement/admission_queue_test.cpp
@@ -0,0 +1,200 @@
+#include "placement/placement.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <rapidcheck/catch.h>
+
+using namespace parsleyglade;
+using namespace std::chrono_literals;
+
+namespace {
+
+queued_job makeJob(std::uint64_t id, std::int64_t caller, time_point now, duration deadline = 1h)
+{
+    return {id, caller_id{caller}, urgency_class::normal, job_class::short_job, 100ms, now, now + deadline};
+}
+
+queued_job randomJob(std::uint64_t id, std::mt19937_64 &random, time_point now)
+{
+    queued_job job = makeJob(id, static_cast<std::int64_t>(random() % 5), now, duration{random() % 4'000'000});
+    job.urgency = random() % 4 == 0 ? urgency_class::urgent : urgency_class::normal;
+    job.jobClass = random() % 4 == 0 ? job_class::long_job : job_class::short_job;
+    job.expectedRun = duration{random() % 3'000'000};
+    return job;
+}
+
+} // namespace
+
+// Guards against jobs that are lost or delivered twice, against one that leaves before an older job of its kind, and against unbounded queues.
+TEST_CASE("each accepted job leaves once, and the bounds hold")
+{
+    rc::prop("with random offers, takes, cancels and expiries", [](std::uint64_t seed) {
+        std::mt19937_64 random(seed);
+        admission_settings settings;
+        settings.maximumJobs = 1 + random() % 60;
+        settings.maximumJobsOfCaller = 1 + random() % 30;
+        admission_queue queue(settings);
+        std::map<std::uint64_t, queued_job> waiting;
+        time_point now{1s};
+        const auto leaves = [&waiting](const queued_job &job) {
+            RC_ASSERT(waiting.erase(job.id) == 1U);
+        };
+
+        for (std::uint64_t id = 1; id < 500; ++id) {
+            now += duration{random() % 20'000};
+            const queued_job job = randomJob(id, random, now);
+            const admission_verdict verdict = queue.offer(job, now, random);
+            RC_ASSERT(verdict.isAccepted() == (verdict.retryAfter == 0s));
+            if (verdict.isAccepted()) {
+                waiting.emplace(id, job);
+            }
+            if (const std::uint64_t target = 1 + random() % id; random() % 5 == 0) {
+                RC_ASSERT(queue.cancel(target) == (waiting.erase(target) == 1));
+            }
+            if (random() % 3 == 0) {
+                for (const queued_job &expired : queue.expire(now)) {
+                    leaves(expired);
+                }
+            }
+            if (const job_class_set free{random() % 2 == 0, random() % 3 == 0}; const auto taken = queue.take(free, now)) {
+                RC_ASSERT(free.contains(taken->jobClass));
+                leaves(*taken);
+                for (const auto &[other, older] : waiting) {
+                    const bool sameKind = older.caller == taken->caller && older.urgency == taken->urgency && older.jobClass == taken->jobClass;
+                    RC_ASSERT(!sameKind || other > taken->id);
+                }
+            }
+            RC_ASSERT(queue.size() == waiting.size());
+            RC_ASSERT(queue.size() <= settings.maximumJobs);
+            for (std::int64_t caller = 0; caller < 5; ++caller) {
+                RC_ASSERT(queue.sizeOf(caller_id{caller}) <= settings.maximumJobsOfCaller);
+            }
+        }
+        while (const auto taken = queue.take({}, now)) {
+            leaves(*taken);
+        }
+        RC_ASSERT(waiting.empty());
+        RC_ASSERT(!queue.nextExpiry());
+    });
+}
+
+// Guards against a caller that receives more than its share while others wait.
+TEST_CASE("backlogged callers receive work by share, to within one quantum")
+{
+    rc::prop("with equal costs within one quantum, with any costs within one quantum and one job", [](std::uint64_t seed) {
+        std::mt19937_64 random(seed);
+        const bool equalCosts = random() % 2 == 0;
+        const duration quantum = 400ms;
+        deficit_round_robin lane(quantum);
+        const std::array<double, 3> shares{1.0, 2.0, 0.5};
+        duration largest{};
+        for (std::uint64_t id = 0; id < 600; ++id) {
+            queued_job job = makeJob(id, static_cast<std::int64_t>(id % 3), time_point{1s});
+            job.expectedRun = equalCosts ? 100ms : duration{1'000 + random() % 2'000'000};
+            largest = std::max(largest, job.expectedRun);
+            lane.push(job, shares.at(id % 3));
+        }
+
+        const double bound = toSeconds(quantum) + (equalCosts ? 0.0 : toSeconds(largest) / 0.5) + 1e-9;
+        std::array<double, 3> received{};
+        while (lane.sizeOf(caller_id{0}) > 0 && lane.sizeOf(caller_id{1}) > 0 && lane.sizeOf(caller_id{2}) > 0) {
+            const queued_job job = lane.pop();
+            const auto caller = static_cast<std::size_t>(job.caller);
+            received.at(caller) += toSeconds(job.expectedRun) / shares.at(caller);
+            const auto [least, most] = std::minmax_element(received.begin(), received.end());
+            RC_ASSERT(*most - *least <= bound);
+        }
+    });
+}
+
+// Guards against one caller's storm that fills the queue or delays the other callers.
+TEST_CASE("a storm of one caller delays only itself")
+{
+    std::mt19937_64 random(7);
+    admission_queue queue;
+    time_point now{1s};
+    std::uint64_t id = 0;
+    int refused = 0;
+    duration longestWait{};
+    std::map<std::int64_t, int> taken;
+    for (int step = 0; step < 2'000; ++step) {
+        now += 10ms;
+        for (int copy = 0; copy < 10; ++copy) {
+            queue.offer(makeJob(++id, 1, now), now, random);
+        }
+        if (step % 2 == 0) {
+            refused += queue.offer(makeJob(++id, 2, now), now, random).isAccepted() ? 0 : 1;
+        }
+        if (const auto job = queue.take({}, now)) {
+            taken[static_cast<std::int64_t>(job->caller)] += 1;
+            longestWait = job->caller == caller_id{2} ? std::max(longestWait, now - job->arrivedAt) : longestWait;
+        }
+    }
+    CHECK(refused == 0);
+    CHECK(taken[2] > 950);
+    CHECK(longestWait < 200ms);
+}
+
+// Guards against urgent jobs that starve normal ones, and against short jobs that starve long ones.
+TEST_CASE("neither urgent nor short jobs starve the rest")
+{
+    std::mt19937_64 random(7);
+    admission_queue queue;
+    const time_point start{1s};
+    queued_job normalLong = makeJob(1, 1, start);
+    normalLong.jobClass = job_class::long_job;
+    normalLong.expectedRun = 5s;
+    queue.offer(normalLong, start, random);
+    queue.offer(makeJob(2, 1, start), start, random);
+
+    std::map<std::uint64_t, time_point> leftAt;
+    std::uint64_t id = 2;
+    for (time_point now = start; leftAt.size() < 2 && now < start + 1min; now += 10ms) {
+        queued_job urgent = makeJob(++id, 2, now);
+        urgent.urgency = urgency_class::urgent;
+        queue.offer(urgent, now, random);
+        queue.offer(makeJob(++id, 2, now), now, random);
+        const auto job = queue.take({}, now);
+        REQUIRE(job.has_value());
+        if (job->id <= 2) {
+            leftAt[job->id] = now;
+        }
+    }
+    CHECK(leftAt[2] <= start + 200ms);
+    CHECK(leftAt[1] <= start + 30s);
+}
+
+// Guards against a queue that holds jobs until their callers have given up, so that every slot runs work nobody waits for.
+TEST_CASE("a job whose deadline cannot be met is refused at once")
+{
+    std::mt19937_64 random(7);
+    admission_queue queue;
+    time_point now{1s};
+    std::map<result_code, int> offered;
+    std::size_t expired = 0;
+    for (std::uint64_t id = 1; id < 4'000; ++id) {
+        now += 5ms;
+        offered[queue.offer(makeJob(id, static_cast<std::int64_t>(id % 3), now, 1s), now, random).code] += 1;
+        expired += queue.expire(now).size();
+        if (id % 5 == 0) {
+            queue.take({}, now);
+        }
+    }
+    CHECK(offered[result_code::deadline_unreachable] > 2'500);
+    CHECK(expired * 20 < static_cast<std::size_t>(offered[result_code::ok]));
+}
+
+// Guards against a route that is refused for good because its estimate is wrong, and against expiry at the wrong time.
+TEST_CASE("a wrong estimate above the deadline does not refuse an idle pool's job")
+{
+    std::mt19937_64 random(7);
+    admission_queue queue;
+    const time_point now{1s};
+    queued_job job = makeJob(1, 1, now, 2s);
+    job.expectedRun = 1min;
+    REQUIRE(queue.offer(job, now, random).isAccepted());
+    CHECK(queue.nextExpiry() == now + 1s);
+    CHECK(queue.expire(now + 1s).empty());
+    CHECK(queue.expire(now + 1s + 1us).size() == 1);
+    CHECK_FALSE(queue.cancel(1));
+}
