Add the fleet fold

Cause: entry hosts must agree on drains, pool moves, waves and on which entry hosts a move waits for, through the log's order alone.

Registrations name the number of registrations before them, moves the host's epoch, waves their version, and planned work the plan number, so late, copied and racing records are skipped by all processes alike, with a reason found by record id. move_joined counts only after the acknowledgement of every registered incarnation of the data centre.

--- /dev/null
+++ b/src/records/fleet_transitions.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "core/identifiers.h"
+#include "records/fleet_state.h"
+#include "records/skip_reason.h"
+#include <parsleyglade/parsleyglade_types.h>
+
+#include <optional>
+
+namespace parsleyglade {
+
+/** Longest name of a host, pool, place, wave or author in a record, in bytes. */
+constexpr std::size_t maximumFleetNameBytes = 128;
+
+/** Longest detail of a record other than a snapshot, in bytes. */
+constexpr std::size_t maximumFleetDetailBytes = std::size_t{1024} * 1024;
+
+/** How many applied records the state remembers to recognise copies of them. */
+constexpr std::size_t recentFleetRecords = 1024;
+
+/** Applies one record other than a snapshot to the state. Returns why it was skipped; the state is then unchanged. */
+std::optional<skip_reason> applyFleetRecord(fleet_state &state, const wire::fleet_record &record, log_offset offset);
+
+/** Whether every incarnation registered in the leaving host's data centre has acknowledged its move. */
+bool isAcknowledgedByAll(const fleet_state &state, const host_assignment &host);
+
+} // namespace parsleyglade
