--- /dev/null
+++ b/tests/fleet/membership_test.cpp
@@ -0,0 +1,126 @@
+#include "fleet/fleet.h"
+#include "records/fleet_record_builder.h"
+
+#include <catch2/catch.hpp>
+
+using namespace parsleyglade;
+
+namespace {
+
+constexpr time_point start{std::chrono::seconds(100)};
+
+struct fixture
+{
+    fleet_tables tables{
+        {{"p", "s", false, 0.995, 2, 8}, {"q", "t", false, 0.9, 0, 8}},
+        {{"h1", "p", "r", "dc", "rack-1"}, {"h2", "p", "r", "dc", "rack-2"}, {"h3", "p", "r", "other", "rack-3"}, {"h4", "p", "r", "dc", "rack-4"}}};
+    fleet_fold fold;
+    std::map<std::string, endpoint_observation> seen;
+    membership decision{incarnation_id{1}, "dc"};
+    std::int64_t nextRecord = 1;
+
+    explicit fixture(bool isRegistered = true)
+    {
+        for (const auto &host : tables.hosts) {
+            seen[host.name] = {start, {}, false, listed_state::live, 0, 0};
+        }
+        if (isRegistered) {
+            append(writer().registered("entry-1", "dc", "r", 0));
+        }
+    }
+
+    fleet_record_builder writer()
+    {
+        return fleet_record_builder(1).stamp(nextRecord++, 0);
+    }
+
+    void append(const wire::fleet_record &record)
+    {
+        REQUIRE(fold.apply(fold.nextOffset(), record) == fold_step::applied);
+    }
+
+    host_membership at(std::size_t index, duration later = {}) const
+    {
+        return decision.evaluate(tables, fold, seen, start + later)[index];
+    }
+
+    bool refuses(std::size_t index, membership_reason reason, duration later = {}) const
+    {
+        const auto reasons = at(index, later).reasons;
+        return std::find(reasons.begin(), reasons.end(), reason) != reasons.end();
+    }
+};
+
+} // namespace
+
+// Guards against work on an endpoint that any one of the sources says must take none.
+TEST_CASE("each reason alone makes an endpoint unusable")
+{
+    using std::chrono::seconds;
+    fixture fleet;
+    REQUIRE(fleet.at(0).isUsable());
+    CHECK(fleet.refuses(2, membership_reason::other_data_centre));
+    CHECK(fleet.at(0, seconds(2)).isUsable());
+    CHECK(fleet.refuses(0, membership_reason::probe_too_old, seconds(2) + duration(1)));
+    CHECK(fixture(false).refuses(0, membership_reason::not_registered));
+
+    fleet.seen["h1"].saysLeaving = true;
+    CHECK(fleet.refuses(0, membership_reason::says_leaving));
+    fleet.seen["h1"] = {start, {}, false, listed_state::leaving, 0, 0};
+    CHECK(fleet.refuses(0, membership_reason::listed_leaving));
+    CHECK_FALSE(fleet.at(0).nextStep().empty());
+    fleet.seen.erase("h1");
+    CHECK(fleet.refuses(0, membership_reason::never_probed));
+    fleet.append(fleet.writer().drainStarted(drain_scope::rack, "rack-2", "operator"));
+    CHECK(fleet.refuses(1, membership_reason::drained));
+    fleet.tables.pools.erase(fleet.tables.pools.begin());
+    CHECK(fleet.refuses(3, membership_reason::unknown_pool));
+}
+
+// Guards against use of a moving host before its new pool has seen it well, and against an acknowledgement with work in flight.
+TEST_CASE("a moving host is usable again only in its new pool after a fresh probe")
+{
+    fixture fleet;
+    fleet.append(fleet.writer().moveStarted("h1", "dc", "p", "q", 0, fleet.fold.state().planNumber));
+    CHECK(fleet.at(0).stage == move_stage::leaving);
+    CHECK(fleet.at(0).waitsFor == std::vector<std::string>{"entry-1"});
+    fleet.seen["h1"].inFlight = 1;
+    CHECK_FALSE(fleet.decision.mayAcknowledge(fleet.tables.hosts[0], fleet.fold, fleet.seen["h1"]));
+    fleet.seen["h1"].inFlight = 0;
+    CHECK(fleet.decision.mayAcknowledge(fleet.tables.hosts[0], fleet.fold, fleet.seen["h1"]));
+    fleet.append(fleet.writer().moveAcknowledged("h1", 1));
+    CHECK(fleet.at(0).stage == move_stage::drained);
+    fleet.seen["h1"].running = 1;
+    CHECK_FALSE(membership::mayJoin("h1", fleet.fold, fleet.seen["h1"], start));
+    fleet.seen["h1"].running = 0;
+    CHECK(membership::mayJoin("h1", fleet.fold, fleet.seen["h1"], start));
+
+    fleet.append(fleet.writer().moveJoined("h1", 1));
+    fleet.seen["h1"].poolChanged = start + duration(1);
+    CHECK(fleet.at(0).stage == move_stage::joining);
+    CHECK_FALSE(fleet.at(0).isUsable());
+    fleet.seen["h1"].lastGoodProbe = start + duration(2);
+    CHECK(fleet.at(0).isUsable());
+    CHECK(fleet.at(0).pool == "q");
+}
+
+// Guards against planned work that takes hosts which failures have already taken.
+TEST_CASE("the budget counts each host once and never lets planned work below minimum and reserve")
+{
+    fixture fleet;
+    fleet_health health{{"h1", host_health::healthy}, {"h2", host_health::healthy}, {"h3", host_health::healthy}, {"h4", host_health::healthy}};
+    CHECK(availability_budget(fleet.tables, fleet.fold.state(), health).services().front().reserve == 1);
+    CHECK(availability_budget(fleet.tables, fleet.fold.state(), health).mayGo("p") == 1);
+    health["h2"] = host_health::suspect;
+    health.erase("h3");
+    CHECK(availability_budget(fleet.tables, fleet.fold.state(), health).mayGo("p") == -1);
+
+    health["h2"] = host_health::healthy;
+    availability_budget budget(fleet.tables, fleet.fold.state(), health, 0);
+    CHECK(budget.takeHost("h3"));
+    CHECK(budget.takeHost("h1"));
+    CHECK_FALSE(budget.takeHost("h2"));
+    CHECK_FALSE(budget.takeHost("unknown"));
+    CHECK(availability_budget::reserveFor(10, 0.995, 0.00155) == 1);
+    CHECK(availability_budget::reserveFor(10, 0.9, 0.00155) == 0);
+}
