Fold the records of a claim stream

Cause: at-most-once execution needs one state of claims that every reader of a stream reaches from the log alone.

--- /dev/null
+++ b/src/jobs/stream_reader.cpp
@@ -0,0 +1,108 @@
+#include "jobs/stream_reader.h"
+
+namespace parsleyglade {
+
+void stream_reader::startCatchUp()
+{
+    m_isCaughtUp = false;
+}
+
+std::vector<fold_step> stream_reader::take(const read_answer &answer)
+{
+    if (answer.result == read_answer::kind::unavailable) {
+        return {};
+    }
+    if (answer.result == read_answer::kind::trimmed) {
+        // A stale replica may report a start that lies below what has been read already.
+        if (answer.earliest > readFrom()) {
+            startScan(answer.earliest);
+        }
+        return {};
+    }
+
+    if (m_isScanning) {
+        scan(answer);
+        return {};
+    }
+    return follow(answer);
+}
+
+fold_step stream_reader::applyOwn(log_offset offset, std::string_view payload)
+{
+    return m_isScanning ? fold_step{fold_status::gap, 0, {}} : m_fold.apply(offset, payload);
+}
+
+log_offset stream_reader::readFrom() const
+{
+    return m_isScanning ? m_scanNext : m_fold.nextOffset();
+}
+
+bool stream_reader::isCaughtUp() const
+{
+    return m_isCaughtUp;
+}
+
+const claim_fold &stream_reader::fold() const
+{
+    return m_fold;
+}
+
+void stream_reader::startScan(log_offset earliest)
+{
+    m_isCaughtUp = false;
+    m_isScanning = true;
+    m_scanNext = earliest;
+    m_collector = snapshot_collector{};
+    m_candidate.reset();
+}
+
+void stream_reader::scan(const read_answer &answer)
+{
+    const log_offset start = m_scanNext;
+    for (const stream_record &record : answer.records) {
+        if (record.offset < m_scanNext) {
+            continue;
+        }
+
+        m_scanNext = record.offset + 1;
+        const auto batch = decode<wire::claim_batch>(record.payload);
+        if (!batch || !batch->__isset.snapshot) {
+            continue;
+        }
+        if (const auto snapshot = m_collector.add(batch->snapshot)) {
+            auto fold = claim_fold::fromSnapshot(*snapshot);
+            if (fold && snapshot->asOf + 1 >= answer.earliest) {
+                m_candidate = std::move(*fold);
+            }
+        }
+    }
+
+    const bool isAtHead = m_scanNext >= answer.head || m_scanNext == start;
+    if (isAtHead && m_candidate) {
+        m_fold = std::move(*m_candidate);
+        m_candidate.reset();
+        m_isScanning = false;
+    }
+}
+
+std::vector<fold_step> stream_reader::follow(const read_answer &answer)
+{
+    std::vector<fold_step> steps;
+    for (const stream_record &record : answer.records) {
+        fold_step step = m_fold.apply(record.offset, record.payload);
+        if (step.status == fold_status::gap) {
+            // The records below are gone or the replica left them out; the next read from readFrom() tells which.
+            return steps;
+        }
+        if (step.status != fold_status::ignored) {
+            steps.push_back(std::move(step));
+        }
+    }
+
+    if (answer.records.empty() || m_fold.nextOffset() >= answer.head) {
+        m_isCaughtUp = true;
+    }
+    return steps;
+}
+
+} // namespace parsleyglade
