--- /dev/null
+++ b/src/jobs/dispatch_ledger.cpp
@@ -0,0 +1,324 @@
+#include "jobs/dispatch_ledger.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace parsleyglade {
+
+namespace {
+
+job_event eventOf(const wire::claim_reply &reply)
+{
+    const auto code = resultCodeFromNumber(reply.code).value_or(result_code::internal_error);
+    const bool isDecided = code != result_code::log_unavailable && code != result_code::coordinator_unreachable && code != result_code::shutting_down
+        && code != result_code::internal_error;
+
+    switch (reply.verdict) {
+    case wire::claim_verdict::granted:
+        return job_event::claim_granted;
+    case wire::claim_verdict::still_running:
+        return job_event::claim_running;
+    case wire::claim_verdict::completed:
+        return job_event::claim_completed;
+    case wire::claim_verdict::outcome_unknown:
+        return job_event::claim_unknown;
+    case wire::claim_verdict::key_reused:
+        return job_event::claim_reused;
+    case wire::claim_verdict::key_expired:
+        return job_event::claim_expired;
+    case wire::claim_verdict::refused:
+    case wire::claim_verdict::not_found:
+        break;
+    }
+    return isDecided ? job_event::claim_refused : job_event::claim_undecided;
+}
+
+struct send_event
+{
+    job_event event;
+    result_code code;
+};
+
+struct send_event_visitor
+{
+    send_event operator()(const send_not_started &outcome) const
+    {
+        return {job_event::send_not_started, outcome.code};
+    }
+
+    send_event operator()(const send_lost &outcome) const
+    {
+        return {job_event::send_lost, outcome.code};
+    }
+
+    send_event operator()(const whole_answer & /*outcome*/) const
+    {
+        return {job_event::answer_whole, result_code::ok};
+    }
+};
+
+} // namespace
+
+dispatch_ledger::dispatch_ledger(const ledger_settings &settings, std::uint64_t seed)
+    : m_settings(settings)
+    , m_random(seed)
+    , m_answers(settings.answerBytesEach, settings.answerBytesTotal)
+{
+}
+
+outcome<wire::claim_request> dispatch_ledger::begin(const job_to_claim &job)
+{
+    assert(job.fingerprint != 0);
+    if (m_attempts.size() >= m_settings.maximumAttempts) {
+        return failure{result_code::queue_full, "too many attempts are under way or wait for the log", {}};
+    }
+
+    auto attempt = attempt_id{static_cast<std::int64_t>(m_random())};
+    while (m_attempts.contains(attempt)) {
+        attempt = attempt_id{static_cast<std::int64_t>(m_random())};
+    }
+
+    attempt_record record;
+    record.job = job;
+    m_byIdentity.emplace(job.identity, attempt);
+    return requestOf(attempt, m_attempts.emplace(attempt, std::move(record)).first->second);
+}
+
+std::optional<wire::claim_request> dispatch_ledger::repeatRequest(attempt_id attempt)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end() || found->second.state != attempt_state::claiming) {
+        return std::nullopt;
+    }
+
+    ++found->second.requests;
+    return requestOf(attempt, found->second);
+}
+
+ledger_decision dispatch_ledger::claimAnswered(attempt_id attempt, const wire::claim_reply &reply, time_point now)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end()) {
+        // The attempt may have been sent before it was forgotten, so it must not be released now. Its acknowledged report stands in the log.
+        return {};
+    }
+
+    const bool isGrant = reply.verdict == wire::claim_verdict::granted;
+    const bool isOther = isGrant && reply.attempt != static_cast<std::int64_t>(attempt);
+    if (isOther) {
+        return {};
+    }
+    if (isGrant && found->second.report && found->second.report->result == wire::job_result::released) {
+        schedule(attempt, found->second, now);
+    }
+    return apply(attempt, eventOf(reply), resultCodeFromNumber(reply.code).value_or(result_code::internal_error), now);
+}
+
+bool dispatch_ledger::startSend(attempt_id attempt)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end() || found->second.state != attempt_state::granted) {
+        return false;
+    }
+
+    found->second.state = decide(found->second.state, job_event::send_started).next;
+    return true;
+}
+
+ledger_decision dispatch_ledger::sendEnded(attempt_id attempt, const send_outcome &outcome, time_point now)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end()) {
+        return {};
+    }
+
+    const send_event ended = std::visit(send_event_visitor{}, outcome);
+    if (const auto *whole = std::get_if<whole_answer>(&outcome)) {
+        m_answers.keep(found->second.job.identity, whole->answer);
+    }
+    ledger_decision decision = apply(attempt, ended.event, ended.code, now);
+
+    const auto *whole = std::get_if<whole_answer>(&outcome);
+    const auto left = m_attempts.find(attempt);
+    if (whole != nullptr && left != m_attempts.end() && left->second.report) {
+        left->second.report->httpStatus = whole->answer.httpStatus;
+    }
+    return decision;
+}
+
+ledger_decision dispatch_ledger::abandon(attempt_id attempt, result_code code, time_point now)
+{
+    return apply(attempt, job_event::abandoned, code, now);
+}
+
+std::vector<attempt_id> dispatch_ledger::abandonUnsent(time_point now)
+{
+    std::vector<attempt_id> unsent;
+    for (const auto &[attempt, record] : m_attempts) {
+        if (record.state == attempt_state::claiming || record.state == attempt_state::granted) {
+            unsent.push_back(attempt);
+        }
+    }
+    for (const attempt_id attempt : unsent) {
+        abandon(attempt, result_code::shutting_down, now);
+    }
+    return unsent;
+}
+
+cancel_decision dispatch_ledger::cancel(const claim_identity &identity, time_point now)
+{
+    cancel_decision result;
+    const auto first = m_byIdentity.lower_bound({identity, attempt_id{std::numeric_limits<std::int64_t>::min()}});
+    std::vector<attempt_id> attempts;
+    for (auto position = first; position != m_byIdentity.end() && position->first == identity; ++position) {
+        attempts.push_back(position->second);
+    }
+
+    result.isKnown = !attempts.empty();
+    result.isStopped = result.isKnown;
+    for (const attempt_id attempt : attempts) {
+        const job_answer before = m_attempts.at(attempt).answer;
+        const ledger_decision decision = apply(attempt, job_event::cancelled, result_code::cancelled, now);
+        if (decision.answer == job_answer::not_run) {
+            result.ended.push_back(attempt);
+        }
+        if (decision.action == job_action::stop_if_cancellable) {
+            result.running.push_back(attempt);
+        }
+        const bool isNotRun = decision.answer == job_answer::not_run || (decision.answer == job_answer::none && before == job_answer::not_run);
+        result.isStopped = result.isStopped && isNotRun;
+    }
+    return result;
+}
+
+std::vector<wire::result_report> dispatch_ledger::dueReports(time_point now, std::size_t maximum)
+{
+    std::vector<wire::result_report> reports;
+    while (!m_reports.empty() && m_reports.begin()->first <= now && reports.size() < maximum) {
+        const attempt_id attempt = m_reports.begin()->second;
+        attempt_record &record = m_attempts.at(attempt);
+
+        wire::result_report report;
+        report.stream = record.job.stream;
+        report.result = *record.report;
+        if (report.result.result == wire::job_result::completed) {
+            if (const auto answer = m_answers.find(record.job.identity)) {
+                report.__set_answer(*answer);
+            }
+        }
+        reports.push_back(std::move(report));
+
+        // Up to a quarter is added at random, so that many reports don't return together.
+        record.reportDelay = std::clamp(2 * record.reportDelay, m_settings.reportInterval, m_settings.maximumReportInterval);
+        const duration jitter{static_cast<duration::rep>(m_random() % static_cast<std::uint64_t>(record.reportDelay.count() / 4 + 1))};
+        schedule(attempt, record, now + record.reportDelay + jitter);
+    }
+    return reports;
+}
+
+void dispatch_ledger::reportAnswered(const wire::result_entry &report, bool isRecorded)
+{
+    const auto found = m_attempts.find(attempt_id{report.attempt});
+    if (isRecorded && found != m_attempts.end() && found->second.report && found->second.report->result == report.result) {
+        forget(found->first);
+    }
+}
+
+std::optional<time_point> dispatch_ledger::nextReport() const
+{
+    return m_reports.empty() ? std::nullopt : std::optional(m_reports.begin()->first);
+}
+
+std::optional<attempt_state> dispatch_ledger::stateOf(attempt_id attempt) const
+{
+    const auto found = m_attempts.find(attempt);
+    return found == m_attempts.end() ? std::nullopt : std::optional(found->second.state);
+}
+
+std::size_t dispatch_ledger::size() const
+{
+    return m_attempts.size();
+}
+
+ledger_decision dispatch_ledger::apply(attempt_id attempt, job_event event, result_code code, time_point now)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end()) {
+        return {};
+    }
+
+    attempt_record &record = found->second;
+    const attempt_state before = record.state;
+    const job_decision decision = decide(before, event);
+    record.state = decision.next;
+    if (decision.next == attempt_state::sent_given_up && before != decision.next) {
+        record.givenUpFor = code;
+    }
+    if (before == attempt_state::sent_given_up && event == job_event::send_not_started) {
+        code = record.givenUpFor;
+    }
+    if (decision.answer != job_answer::none) {
+        record.answer = decision.answer;
+    }
+
+    const ledger_decision result{decision.answer, decision.action, decision.answer == job_answer::still_running ? result_code::still_running : code};
+    if (before != attempt_state::finished && decision.next == attempt_state::finished) {
+        setReport(attempt, record, decision.report, code, now);
+    }
+    return result;
+}
+
+void dispatch_ledger::setReport(attempt_id attempt, attempt_record &record, job_report report, result_code code, time_point now)
+{
+    const bool isReleased = report == job_report::released || (report == job_report::released_if_repeated && record.requests > 1);
+    if (!isReleased && report != job_report::completed && report != job_report::unknown) {
+        forget(attempt);
+        return;
+    }
+
+    wire::result_entry entry;
+    entry.key = record.job.identity.key.bytes();
+    entry.caller = static_cast<std::int64_t>(record.job.identity.caller);
+    entry.attempt = static_cast<std::int64_t>(attempt);
+    entry.result = wire::job_result::released;
+    if (report == job_report::completed) {
+        entry.result = wire::job_result::completed;
+    } else if (report == job_report::unknown) {
+        entry.result = wire::job_result::unknown;
+        entry.httpStatus = static_cast<std::int16_t>(code);
+    }
+    record.report = std::move(entry);
+    schedule(attempt, record, now);
+}
+
+void dispatch_ledger::schedule(attempt_id attempt, attempt_record &record, time_point at)
+{
+    m_reports.erase({record.reportAt, attempt});
+    record.reportAt = at;
+    m_reports.emplace(at, attempt);
+}
+
+void dispatch_ledger::forget(attempt_id attempt)
+{
+    const auto found = m_attempts.find(attempt);
+    m_reports.erase({found->second.reportAt, attempt});
+    m_byIdentity.erase({found->second.job.identity, attempt});
+    m_attempts.erase(found);
+}
+
+wire::claim_request dispatch_ledger::requestOf(attempt_id attempt, const attempt_record &record) const
+{
+    wire::claim_request request;
+    request.stream = record.job.stream;
+    request.claim.key = record.job.identity.key.bytes();
+    request.claim.caller = static_cast<std::int64_t>(record.job.identity.caller);
+    request.claim.fingerprint = record.job.fingerprint;
+    request.claim.dispatcher = static_cast<std::int64_t>(m_settings.incarnation);
+    request.claim.attempt = static_cast<std::int64_t>(attempt);
+    request.claim.team = record.job.team;
+    request.waitMilliseconds = static_cast<std::int32_t>(record.job.wait.count());
+    request.queryOnly = false;
+    return request;
+}
+
+} // namespace parsleyglade
