Give the platform's request type and the fleet fold's step their own names

Cause: platform/http_request and transport/http_request, and the fold_step types of jobs and records, had the same name in one namespace; the entry module includes both, which is an error and would break the one-definition rule at link time.

Change: outgoing_request in platform, fleet_step in records; passed-on requests carry all end-to-end headers and the query.

Measured: the entry module compiles against both modules.

--- a/idl/parsleyglade.thrift
+++ b/idl/parsleyglade.thrift
@@ -191,11 +191,12 @@
     1: string requestId
     2: string method
     3: string path
-    4: string contentType
     5: binary body
     6: string caller
     7: binary key
     8: i64 deadlineMilliseconds
+    9: map<string, string> headers   // end-to-end headers of the request
+    10: string query
 }
 
 struct forward_reply {
--- a/src/platform/http_host_list_client.cpp
+++ b/src/platform/http_host_list_client.cpp
@@ -47,7 +47,7 @@
 
 void http_host_list_client::fetchFrom(std::size_t address, std::size_t attemptsLeft, std::function<void(outcome<host_list>)> done)
 {
-    http_request request;
+    outgoing_request request;
     request.address = m_settings.addresses[address];
     request.target = "/v1/hosts";
     request.timeLimit = m_settings.timeLimit;
--- a/src/platform/http_log_client.cpp
+++ b/src/platform/http_log_client.cpp
@@ -186,7 +186,7 @@
 void http_log_client::append(const std::string &stream, std::string payload, std::function<void(append_result)> done)
 {
     const std::size_t address = m_preferred;
-    http_request request;
+    outgoing_request request;
     request.address = m_settings.addresses[address];
     request.method = "POST";
     request.target = streamTarget(stream);
@@ -221,7 +221,7 @@
 
 void http_log_client::sendRead(const std::shared_ptr<read_call> &call)
 {
-    http_request request;
+    outgoing_request request;
     request.address = m_settings.addresses[call->address];
     request.target = call->target;
     request.timeLimit = call->timeLimit;
--- a/src/platform/http_requester.cpp
+++ b/src/platform/http_requester.cpp
@@ -227,7 +227,7 @@
         item->owner->finish(*item, readAnswer(request), !hasSurplus(*item));
     }
 
-    void start(connection &item, const http_request &request, evhttp_cmd_type method, std::function<void(http_answer)> done)
+    void start(connection &item, const outgoing_request &request, evhttp_cmd_type method, std::function<void(http_answer)> done)
     {
         item.done = std::move(done);
         item.reason.clear();
@@ -273,7 +273,7 @@
 
 http_requester::~http_requester() = default;
 
-void http_requester::send(const http_request &request, std::function<void(http_answer)> done)
+void http_requester::send(const outgoing_request &request, std::function<void(http_answer)> done)
 {
     const auto address = parseAddress(request.address);
     const auto method = parseMethod(request.method);
--- a/src/platform/http_request.h
+++ b/src/platform/outgoing_request.h
@@ -9,7 +9,7 @@
 namespace parsleyglade {
 
 /** One HTTP request to a server given by IP number and port. @see http_requester */
-struct http_request
+struct outgoing_request
 {
     std::string address; /**< IP number and port, such as 127.0.0.1:9000. */
     std::string method = "GET";
--- a/src/records/fleet_fold.cpp
+++ b/src/records/fleet_fold.cpp
@@ -16,15 +16,15 @@
 
 } // namespace
 
-std::optional<fold_step> fleet_fold::checkOffset(log_offset offset) const
+std::optional<fleet_step> fleet_fold::checkOffset(log_offset offset) const
 {
     if (offset < m_nextOffset) {
-        return fold_step::ignored;
+        return fleet_step::ignored;
     }
-    return offset > m_nextOffset ? std::optional(fold_step::gap) : std::nullopt;
+    return offset > m_nextOffset ? std::optional(fleet_step::gap) : std::nullopt;
 }
 
-fold_step fleet_fold::apply(log_offset offset, std::string_view payload)
+fleet_step fleet_fold::apply(log_offset offset, std::string_view payload)
 {
     if (const auto step = checkOffset(offset)) {
         return *step;
@@ -39,7 +39,7 @@
     return finish(0, skip_reason::corrupt);
 }
 
-fold_step fleet_fold::apply(log_offset offset, const wire::fleet_record &record)
+fleet_step fleet_fold::apply(log_offset offset, const wire::fleet_record &record)
 {
     if (const auto step = checkOffset(offset)) {
         return *step;
@@ -50,7 +50,7 @@
         return finish(record.record, applySnapshot(record, offset));
     }
     if (m_awaitsSnapshot) {
-        return fold_step::skipped;
+        return fleet_step::skipped;
     }
     return finish(record.record, applyFleetRecord(m_state, record, offset));
 }
@@ -73,7 +73,7 @@
     return std::nullopt;
 }
 
-fold_step fleet_fold::finish(std::int64_t record, std::optional<skip_reason> reason)
+fleet_step fleet_fold::finish(std::int64_t record, std::optional<skip_reason> reason)
 {
     if (reason) {
         ++m_skipped.at(static_cast<std::size_t>(*reason));
@@ -85,7 +85,7 @@
             m_seen.pop_front();
         }
     }
-    return reason ? fold_step::skipped : fold_step::applied;
+    return reason ? fleet_step::skipped : fleet_step::applied;
 }
 
 void fleet_fold::skipTo(log_offset earliest)
--- a/src/records/fleet_fold.h
+++ b/src/records/fleet_fold.h
@@ -2,7 +2,7 @@
 
 #include "core/identifiers.h"
 #include "records/fleet_state.h"
-#include "records/fold_step.h"
+#include "records/fleet_step.h"
 #include "records/skip_reason.h"
 #include <parsleyglade/parsleyglade_types.h>
 
@@ -44,10 +44,10 @@
     fleet_fold() = default;
 
     /** Applies an encoded record. Bytes that don't decode are skipped and counted; never throws. */
-    fold_step apply(log_offset offset, std::string_view payload);
+    fleet_step apply(log_offset offset, std::string_view payload);
 
     /** Applies a decoded record. */
-    fold_step apply(log_offset offset, const wire::fleet_record &record);
+    fleet_step apply(log_offset offset, const wire::fleet_record &record);
 
     /**
      * Goes on at a later offset because retention has removed the records before it. The state stays as it is, and records are
@@ -97,9 +97,9 @@
         record_verdict verdict;
     };
 
-    std::optional<fold_step> checkOffset(log_offset offset) const;
+    std::optional<fleet_step> checkOffset(log_offset offset) const;
     std::optional<skip_reason> applySnapshot(const wire::fleet_record &record, log_offset offset);
-    fold_step finish(std::int64_t record, std::optional<skip_reason> reason);
+    fleet_step finish(std::int64_t record, std::optional<skip_reason> reason);
 
     fleet_state m_state;
     log_offset m_nextOffset = 0;
--- a/src/transport/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -1,15 +1,23 @@
 #include "transport/http_message.h"
 
 #include <algorithm>
+#include <array>
 #include <strings.h>
 
 namespace parsleyglade {
 
+namespace {
+
+bool equalNames(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() && ::strncasecmp(left.data(), right.data(), right.size()) == 0;
+}
+
+} // namespace
+
 std::optional<std::string_view> findHeader(const std::vector<http_header> &headers, std::string_view name)
 {
-    const auto found = std::find_if(headers.begin(), headers.end(), [name](const http_header &header) {
-        return header.first.size() == name.size() && ::strncasecmp(header.first.data(), name.data(), name.size()) == 0;
-    });
+    const auto found = std::find_if(headers.begin(), headers.end(), [name](const http_header &header) { return equalNames(header.first, name); });
     if (found == headers.end()) {
         return std::nullopt;
     }
@@ -17,6 +25,13 @@
     return found->second;
 }
 
+bool isHopByHop(std::string_view name)
+{
+    constexpr std::array<std::string_view, 9> names{"Connection",        "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer",
+                                                    "Transfer-Encoding", "Upgrade",    "Content-Length"};
+    return std::any_of(names.begin(), names.end(), [&](std::string_view candidate) { return equalNames(candidate, name); });
+}
+
 std::string_view reasonPhrase(int status)
 {
     switch (status) {
--- a/src/transport/http_message.h
+++ b/src/transport/http_message.h
@@ -31,6 +31,9 @@
     std::string body;
 };
 
+/** Whether a header belongs to one connection and is not passed on (RFC 9110, section 7.6.1), or describes its framing. */
+bool isHopByHop(std::string_view name);
+
 /** Reason phrase of a status; "Status" for one without a usual phrase. */
 std::string_view reasonPhrase(int status);
 
--- a/tests/fleet/membership_test.cpp
+++ b/tests/fleet/membership_test.cpp
@@ -36,7 +36,7 @@
 
     void append(const wire::fleet_record &record)
     {
-        REQUIRE(fold.apply(fold.nextOffset(), record) == fold_step::applied);
+        REQUIRE(fold.apply(fold.nextOffset(), record) == fleet_step::applied);
     }
 
     host_membership at(std::size_t index, duration later = {}) const
--- a/tests/records/fleet_fold_test.cpp
+++ b/tests/records/fleet_fold_test.cpp
@@ -21,7 +21,7 @@
         return fleet_record_builder(incarnation).stamp(nextRecord++, 0);
     }
 
-    fold_step append(const wire::fleet_record &record)
+    fleet_step append(const wire::fleet_record &record)
     {
         payloads.push_back(encode(record));
         return fold.apply(payloads.size() - 1, payloads.back());
@@ -50,31 +50,31 @@
     model_stream log;
     log.startMove();
     CHECK(log.reason(log.writer(1).moveJoined("h1", 1)) == skip_reason::acknowledgement_missing);
-    CHECK(log.append(log.writer(1).moveAcknowledged("h1", 1)) == fold_step::applied);
+    CHECK(log.append(log.writer(1).moveAcknowledged("h1", 1)) == fleet_step::applied);
     CHECK(log.fold.missingAcknowledgements("h1") == std::vector<std::string>{"entry-2"});
 
     SECTION("by an acknowledgement")
     {
-        CHECK(log.append(log.writer(2).moveAcknowledged("h1", 1)) == fold_step::applied);
+        CHECK(log.append(log.writer(2).moveAcknowledged("h1", 1)) == fleet_step::applied);
     }
     SECTION("by its graceful stop")
     {
-        CHECK(log.append(log.writer(2).retired("entry-2", 2)) == fold_step::applied);
+        CHECK(log.append(log.writer(2).retired("entry-2", 2)) == fleet_step::applied);
     }
     SECTION("by an operator's record, but by no other process")
     {
         CHECK(log.reason(log.writer(1).retired("entry-2", 2)) == skip_reason::retirement_not_confirmed);
-        CHECK(log.append(log.writer(0).retired("entry-2", 2, "operator")) == fold_step::applied);
+        CHECK(log.append(log.writer(0).retired("entry-2", 2, "operator")) == fleet_step::applied);
     }
     SECTION("by a new incarnation that acknowledges itself")
     {
         log.append(log.writer(3).registered("entry-2", "dc", "region", 1));
         CHECK(log.reason(log.writer(2).moveAcknowledged("h1", 1)) == skip_reason::unknown_incarnation);
         CHECK(log.reason(log.writer(1).moveJoined("h1", 1)) == skip_reason::acknowledgement_missing);
-        CHECK(log.append(log.writer(3).moveAcknowledged("h1", 1)) == fold_step::applied);
+        CHECK(log.append(log.writer(3).moveAcknowledged("h1", 1)) == fleet_step::applied);
     }
     CHECK(log.fold.isDrained("h1"));
-    CHECK(log.append(log.writer(1).moveJoined("h1", 1)) == fold_step::applied);
+    CHECK(log.append(log.writer(1).moveJoined("h1", 1)) == fleet_step::applied);
     CHECK(log.fold.state().hosts.at("h1").pool == "q");
 }
 
@@ -100,9 +100,9 @@
     CHECK(log.reason(log.writer(2).moveStarted("h1", "dc", "p", "r", 0, log.fold.state().planNumber)) == skip_reason::stale_epoch);
     CHECK(log.reason(log.writer(2).moveStarted("h2", "dc", "p", "r", 0, 1)) == skip_reason::stale_plan);
     CHECK(log.reason(log.writer(2).drainStarted(drain_scope::host, "h3", "wave:w", 1)) == skip_reason::stale_plan);
-    CHECK(log.append(log.writer(0).drainStarted(drain_scope::rack, "r3", "operator")) == fold_step::applied);
+    CHECK(log.append(log.writer(0).drainStarted(drain_scope::rack, "r3", "operator")) == fleet_step::applied);
 
-    CHECK(log.append(log.writer(2).moveCancelled("h1", 1)) == fold_step::applied);
+    CHECK(log.append(log.writer(2).moveCancelled("h1", 1)) == fleet_step::applied);
     CHECK(log.reason(log.writer(1).moveAcknowledged("h1", 1)) == skip_reason::stale_epoch);
     CHECK(log.reason(log.writer(1).moveJoined("h1", 1)) == skip_reason::stale_epoch);
     CHECK(log.fold.state().hosts.at("h1").pool == "p");
@@ -114,14 +114,14 @@
     using wire::fleet_action;
     model_stream log;
     log.append(log.writer(0).wavePlanned("w", {{"h1"}, {"h2"}}, 0, "operator"));
-    CHECK(log.append(log.writer(0).waveChanged(fleet_action::wave_started, "w", 1, "operator")) == fold_step::applied);
-    CHECK(log.append(log.writer(0).waveChanged(fleet_action::wave_paused, "w", 2, "operator", "burn rate")) == fold_step::applied);
+    CHECK(log.append(log.writer(0).waveChanged(fleet_action::wave_started, "w", 1, "operator")) == fleet_step::applied);
+    CHECK(log.append(log.writer(0).waveChanged(fleet_action::wave_paused, "w", 2, "operator", "burn rate")) == fleet_step::applied);
     CHECK(log.reason(log.writer(0).waveChanged(fleet_action::wave_started, "w", 1, "operator")) == skip_reason::stale_wave);
     CHECK(log.reason(log.writer(1).waveHostDone("w", "h9")) == skip_reason::host_not_in_wave);
-    CHECK(log.append(log.writer(1).waveHostDone("w", "h1")) == fold_step::applied);
-    CHECK(log.append(log.writer(0).wavePlanned("w", {{"h2"}, {"h1"}}, 3, "planner")) == fold_step::applied);
-    CHECK(log.append(log.writer(0).waveChanged(fleet_action::wave_started, "w", 4, "operator")) == fold_step::applied);
-    CHECK(log.append(log.writer(1).waveHostDone("w", "h2")) == fold_step::applied);
+    CHECK(log.append(log.writer(1).waveHostDone("w", "h1")) == fleet_step::applied);
+    CHECK(log.append(log.writer(0).wavePlanned("w", {{"h2"}, {"h1"}}, 3, "planner")) == fleet_step::applied);
+    CHECK(log.append(log.writer(0).waveChanged(fleet_action::wave_started, "w", 4, "operator")) == fleet_step::applied);
+    CHECK(log.append(log.writer(1).waveHostDone("w", "h2")) == fleet_step::applied);
     CHECK(log.fold.state().waves.at("w").state == wave_state::finished);
 }
 
@@ -146,8 +146,8 @@
     }
     CHECK_FALSE(late.isAwaitingSnapshot());
     CHECK(late.digest() == log.fold.digest());
-    CHECK(late.apply(0, log.payloads[0]) == fold_step::ignored);
-    CHECK(late.apply(99, log.payloads[0]) == fold_step::gap);
+    CHECK(late.apply(0, log.payloads[0]) == fleet_step::ignored);
+    CHECK(late.apply(99, log.payloads[0]) == fleet_step::gap);
 }
 
 // Guards against crashes on damaged records and against processes that differ after them.
