Add the coordinator of a claim stream

Cause: 2,000 jobs/s have to be claimed through a log of 300 appends/s, and several coordinators may act on one stream at the same time.

Rules beyond the design, each with its reason in the code: - "Not found", key_in_future and records_full wait for an append of their own, since a fold may lag behind the log and another coordinator's claim may be there already. - A reply while the own claim may still be written carries log_append_unknown or log_unavailable, so that the dispatcher releases it.

--- /dev/null
+++ b/src/jobs/claim_coordinator.cpp
@@ -0,0 +1,359 @@
+#include "jobs/claim_coordinator.h"
+
+#include <algorithm>
+
+namespace parsleyglade {
+
+claim_coordinator::claim_coordinator(const coordinator_settings &settings, std::uint64_t seed)
+    : m_settings(settings)
+    , m_random(seed)
+    , m_answers(settings.answerBytesEach, settings.answerBytesTotal)
+    , m_watch(settings.dispatcherLostLimit)
+    , m_snapshots(settings)
+{
+}
+
+coordinator_actions claim_coordinator::start(const moment &at)
+{
+    begin(at);
+    if (!m_isActive) {
+        m_isActive = true;
+        m_reader.startCatchUp();
+        m_snapshots.start(at.now);
+        m_contactAt = at.now;
+        m_readAt = at.now;
+        m_readDelay = {};
+        m_housekeepingAt = at.now;
+    }
+    return end();
+}
+
+coordinator_actions claim_coordinator::stop(const moment &at)
+{
+    begin(at);
+    m_isActive = false;
+    m_queue.clear();
+    m_barriers.clear();
+    m_batch = {};
+    for (const reply_handle handle : m_requests.all()) {
+        finish(handle, undecidedReply(*m_requests.find(handle), result_code::coordinator_unreachable));
+    }
+    acknowledgeAll(m_reports.takeAll());
+    return end();
+}
+
+coordinator_actions claim_coordinator::request(reply_handle handle, const wire::claim_request &request, const moment &at)
+{
+    begin(at);
+    const auto key = job_key::fromBytes(request.claim.key);
+    if (!key) {
+        m_actions.emplace_back(reply_action{handle, makeReply(wire::claim_verdict::refused, key.lastReason().code, key.lastReason().reason)});
+        return end();
+    }
+    if (!request.queryOnly) {
+        m_watch.heard(incarnation_id{request.claim.dispatcher}, at.now);
+    }
+    if (key->created() <= at.wall + m_settings.futureTolerance) {
+        m_newestAsked = std::max(m_newestAsked, key->created());
+    }
+
+    held_request held;
+    held.request = request;
+    held.identity = {*key, caller_id{request.claim.caller}};
+    const duration wait = std::chrono::milliseconds{std::max(request.waitMilliseconds, 0)};
+    held.waitUntil = at.now + std::min(wait, m_settings.maximumWait);
+    held.deadline = at.now + m_settings.appendDeadline;
+    const bool isFull = m_requests.size() >= m_settings.maximumHeldRequests;
+    m_requests.add(handle, std::move(held));
+    if (!m_isActive) {
+        finish(handle, undecidedReply(*m_requests.find(handle), result_code::coordinator_unreachable));
+        return end();
+    }
+
+    evaluate(handle);
+    if (const held_request *left = m_requests.find(handle); left != nullptr && isFull) {
+        const held_request copy = *left;
+        finish(handle, undecidedReply(copy, result_code::queue_full));
+        withdrawClaim(copy);
+    }
+    return end();
+}
+
+coordinator_actions claim_coordinator::report(reply_handle handle, const wire::result_report &report, const moment &at)
+{
+    begin(at);
+    const bool isFull = m_reports.size() >= m_settings.maximumHeldRequests;
+    const auto key = m_isActive && !isFull ? m_reports.add(report.result, report.__isset.answer ? std::optional(report.answer) : std::nullopt) : std::nullopt;
+    if (!key) {
+        acknowledgeAll({handle});
+        return end();
+    }
+
+    m_reports.find(*key)->waiting[handle] = at.now + m_settings.appendDeadline;
+    const claim_record *record = fold().find(std::get<claim_identity>(*key));
+    if (record != nullptr && record->attempt == std::get<attempt_id>(*key)) {
+        m_watch.heard(record->dispatcher, at.now);
+    }
+    evaluateReport(*key, false);
+    return end();
+}
+
+void claim_coordinator::forget(reply_handle handle)
+{
+    if (const held_request *held = m_requests.find(handle)) {
+        const held_request copy = *held;
+        m_requests.remove(handle);
+        withdrawClaim(copy);
+    }
+}
+
+void claim_coordinator::heard(incarnation_id dispatcher, const moment &at)
+{
+    m_watch.observe(at.now);
+    m_watch.heard(dispatcher, at.now);
+}
+
+coordinator_actions claim_coordinator::dispatcherGone(incarnation_id dispatcher, const moment &at)
+{
+    begin(at);
+    m_watch.gone(dispatcher);
+    m_housekeepingAt = at.now;
+    return end();
+}
+
+const claim_fold &claim_coordinator::fold() const
+{
+    return m_reader.fold();
+}
+
+coordinator_status claim_coordinator::status() const
+{
+    coordinator_status status;
+    status.isActive = m_isActive;
+    status.isCaughtUp = m_reader.isCaughtUp();
+    status.nextOffset = fold().nextOffset();
+    status.weight = fold().weight();
+    status.openClaims = fold().openClaims().size();
+    status.heldRequests = m_requests.size();
+    status.heldReports = m_reports.size();
+    status.corruptRecords = fold().corruptCount();
+    status.appends = m_appends;
+    status.appendedBytes = m_appendedBytes;
+    status.horizon = fold().horizon();
+    return status;
+}
+
+void claim_coordinator::evaluate(reply_handle handle)
+{
+    held_request *held = m_requests.find(handle);
+    if (held == nullptr || !m_reader.isCaughtUp()) {
+        return;
+    }
+
+    const claim_record *record = fold().find(held->identity);
+    if (record != nullptr && record->state != claim_state::released) {
+        // A queued claim could only lose now.
+        m_queue.erase(held->identity);
+    }
+
+    const claim_judgement judgement = judge(record, fold().isExpired(held->identity.key), held->request);
+    if (auto reply = replyFor(judgement, record)) {
+        if (judgement == claim_judgement::completed) {
+            if (const auto answer = m_answers.find(held->identity)) {
+                reply->code = static_cast<std::int32_t>(result_code::ok);
+                reply->reason.clear();
+                reply->__set_answer(*answer);
+            }
+        }
+        finish(handle, *reply);
+    } else if (judgement == claim_judgement::open) {
+        join(handle, *held, *record);
+    } else {
+        claimOrQuery(handle, *held);
+    }
+}
+
+void claim_coordinator::evaluateAfterBarrier(reply_handle handle)
+{
+    if (held_request *held = m_requests.find(handle)) {
+        held->isAtBarrier = false;
+        held->hasPassedBarrier = true;
+        evaluate(handle);
+    }
+    if (held_request *held = m_requests.find(handle)) {
+        held->hasPassedBarrier = false;
+    }
+}
+
+void claim_coordinator::evaluateAll()
+{
+    for (const reply_handle handle : m_requests.all()) {
+        evaluate(handle);
+    }
+    for (const report_key &key : m_reports.all()) {
+        evaluateReport(key, false);
+    }
+}
+
+void claim_coordinator::evaluateJob(const claim_identity &identity)
+{
+    for (const reply_handle handle : m_requests.of(identity)) {
+        evaluate(handle);
+    }
+}
+
+void claim_coordinator::join(reply_handle handle, held_request &held, const claim_record &record)
+{
+    held.isJoined = true;
+    if (m_at.now < held.waitUntil) {
+        m_requests.setDeadline(handle, held.waitUntil);
+        return;
+    }
+
+    wire::claim_reply reply = makeReply(wire::claim_verdict::still_running, result_code::still_running, "the job was claimed and has not ended yet");
+    reply.dispatcher = static_cast<std::int64_t>(record.dispatcher);
+    reply.attempt = static_cast<std::int64_t>(record.attempt);
+    finish(handle, reply);
+}
+
+void claim_coordinator::claimOrQuery(reply_handle handle, held_request &held)
+{
+    if (held.isJoined) {
+        held.isJoined = false;
+        m_requests.setDeadline(handle, m_at.now + m_settings.appendDeadline);
+    }
+
+    // A fold may lag behind the log, so "nobody claimed this" is only said after an own append has shown the records below it.
+    const auto negative = held.request.queryOnly ? std::optional(unclaimedReply(held)) : refusal(held);
+    if (negative && held.hasPassedBarrier) {
+        finish(handle, *negative);
+    } else if (negative) {
+        awaitBarrier(handle, held);
+    } else if (held.isDecided) {
+        // Only a full fold leaves a folded claim without a record. A copy of the batch may still succeed, so the dispatcher has to release it.
+        finish(handle, makeReply(wire::claim_verdict::refused, result_code::log_unavailable, "the claim was not taken"));
+    } else if (!isPending(held.identity)) {
+        m_queue.emplace(held.identity, held.request.claim);
+    }
+}
+
+void claim_coordinator::awaitBarrier(reply_handle handle, held_request &held)
+{
+    if (!held.isAtBarrier) {
+        held.isAtBarrier = true;
+        m_barriers.push_back(handle);
+    }
+}
+
+std::optional<wire::claim_reply> claim_coordinator::refusal(const held_request &held) const
+{
+    if (isPending(held.identity)) {
+        return std::nullopt;
+    }
+    if (held.identity.key.created() > m_at.wall + m_settings.futureTolerance) {
+        return makeReply(wire::claim_verdict::refused, result_code::key_in_future, "the key was created in the future");
+    }
+    if (fold().weight() + m_queue.size() + m_batch.claims.size() >= m_settings.maximumClaims) {
+        return makeReply(wire::claim_verdict::refused, result_code::records_full, "the stream holds as many claims as it may");
+    }
+    return std::nullopt;
+}
+
+wire::claim_reply claim_coordinator::unclaimedReply(const held_request &held) const
+{
+    if (fold().find(held.identity) != nullptr) {
+        return makeReply(wire::claim_verdict::refused, result_code::cancelled, "the job was given up before it was sent");
+    }
+    return makeReply(wire::claim_verdict::not_found, result_code::job_not_found, "the key was not claimed");
+}
+
+wire::claim_reply claim_coordinator::undecidedReply(const held_request &held, result_code code) const
+{
+    if (held.isJoined) {
+        wire::claim_reply reply = makeReply(wire::claim_verdict::still_running, result_code::still_running, "the job was claimed and has not ended yet");
+        if (const claim_record *record = fold().find(held.identity)) {
+            reply.dispatcher = static_cast<std::int64_t>(record->dispatcher);
+            reply.attempt = static_cast<std::int64_t>(record->attempt);
+        }
+        return reply;
+    }
+    const auto verdict = held.request.queryOnly ? wire::claim_verdict::outcome_unknown : wire::claim_verdict::refused;
+    return makeReply(verdict, code, "the log has not decided the request in time");
+}
+
+void claim_coordinator::finish(reply_handle handle, wire::claim_reply reply)
+{
+    const held_request &held = *m_requests.find(handle);
+    const auto inFlight = m_batch.claims.find(held.identity);
+    const bool isInFlight = inFlight != m_batch.claims.end() && inFlight->second == attempt_id{held.request.claim.attempt};
+    if (held.isMaybeWritten || isInFlight) {
+        // The claim may still take effect, so the code tells the dispatcher to release it whatever the verdict.
+        if (reply.verdict == wire::claim_verdict::refused) {
+            reply.code = static_cast<std::int32_t>(result_code::log_unavailable);
+        } else if (reply.verdict == wire::claim_verdict::still_running || reply.verdict == wire::claim_verdict::outcome_unknown) {
+            reply.code = static_cast<std::int32_t>(result_code::log_append_unknown);
+        }
+    }
+    m_requests.remove(handle);
+    m_actions.emplace_back(reply_action{handle, reply});
+}
+
+void claim_coordinator::expireRequests()
+{
+    for (const reply_handle handle : m_requests.due(m_at.now)) {
+        const held_request *held = m_requests.find(handle);
+        if (held == nullptr) {
+            continue;
+        }
+        const held_request copy = *held;
+        finish(handle, undecidedReply(copy, result_code::log_unavailable));
+        withdrawClaim(copy);
+    }
+}
+
+void claim_coordinator::withdrawClaim(const held_request &held)
+{
+    const auto queued = m_queue.find(held.identity);
+    if (queued != m_queue.end() && !held.request.queryOnly && queued->second.attempt == held.request.claim.attempt) {
+        m_queue.erase(queued);
+        evaluateJob(held.identity);
+    }
+}
+
+bool claim_coordinator::isPending(const claim_identity &identity) const
+{
+    return m_queue.contains(identity) || m_batch.claims.contains(identity);
+}
+
+void claim_coordinator::evaluateReport(const report_key &key, bool isFolded)
+{
+    held_report *report = m_reports.find(key);
+    if (report == nullptr || !m_reader.isCaughtUp()) {
+        return;
+    }
+
+    const auto &[identity, attempt, result] = key;
+    const bool settled = isSettled(fold(), key, isFolded);
+    if (!settled && !isFolded) {
+        return;
+    }
+
+    const claim_record *record = fold().find(identity);
+    const bool isCompletion = record != nullptr && record->state == claim_state::completed && record->attempt == attempt;
+    if (isCompletion && result == wire::job_result::completed && report->answer) {
+        m_answers.keep(identity, *report->answer);
+    }
+    for (const auto &[handle, deadline] : report->waiting) {
+        m_actions.emplace_back(acknowledge_action{handle, settled});
+    }
+    m_reports.remove(key);
+}
+
+void claim_coordinator::acknowledgeAll(const std::vector<reply_handle> &handles)
+{
+    for (const reply_handle handle : handles) {
+        m_actions.emplace_back(acknowledge_action{handle, false});
+    }
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/jobs/claim_judgement.cpp
@@ -0,0 +1,107 @@
+#include "jobs/claim_judgement.h"
+
+#include "jobs/claim_fold.h"
+
+namespace parsleyglade {
+
+namespace {
+
+wire::claim_reply unknownReply(const claim_record &record)
+{
+    const auto code = resultCodeFromNumber(record.httpStatus);
+    const bool isKnown = code && *code != result_code::ok;
+    return makeReply(wire::claim_verdict::outcome_unknown, isKnown ? *code : result_code::dispatcher_lost, "the outcome of the job was recorded as unknown");
+}
+
+bool holds(const claim_record &record, const wire::claim_request &request)
+{
+    return !request.queryOnly && record.attempt == attempt_id{request.claim.attempt} && record.dispatcher == incarnation_id{request.claim.dispatcher};
+}
+
+bool isOtherRequest(const claim_record &record, const wire::claim_request &request)
+{
+    return !request.queryOnly && record.fingerprint != 0 && record.fingerprint != request.claim.fingerprint;
+}
+
+} // namespace
+
+claim_judgement judge(const claim_record *record, bool isExpired, const wire::claim_request &request)
+{
+    if (isExpired) {
+        return claim_judgement::expired;
+    }
+    if (record == nullptr) {
+        return claim_judgement::claimable;
+    }
+    if (isOtherRequest(*record, request)) {
+        return claim_judgement::reused;
+    }
+
+    switch (record->state) {
+    case claim_state::completed:
+        return claim_judgement::completed;
+    case claim_state::open:
+        return holds(*record, request) ? claim_judgement::holds : claim_judgement::open;
+    case claim_state::unknown:
+        return holds(*record, request) ? claim_judgement::holds : claim_judgement::unknown;
+    case claim_state::released:
+        break;
+    }
+
+    if (request.queryOnly) {
+        return claim_judgement::claimable;
+    }
+    if (record->isVoid(attempt_id{request.claim.attempt})) {
+        return claim_judgement::lost;
+    }
+    return record->voidAttempts.size() < claim_fold::maximumVoidAttempts ? claim_judgement::claimable : claim_judgement::exhausted;
+}
+
+std::optional<wire::claim_reply> replyFor(claim_judgement judgement, const claim_record *record)
+{
+    wire::claim_reply reply;
+    switch (judgement) {
+    case claim_judgement::open:
+    case claim_judgement::claimable:
+        return std::nullopt;
+    case claim_judgement::holds:
+        reply = makeReply(wire::claim_verdict::granted, result_code::ok, {});
+        break;
+    case claim_judgement::completed:
+        reply = makeReply(wire::claim_verdict::completed, result_code::answer_not_kept, "the job ran; its answer is no longer kept");
+        reply.httpStatus = record->httpStatus;
+        break;
+    case claim_judgement::unknown:
+        reply = unknownReply(*record);
+        break;
+    case claim_judgement::reused:
+        reply = makeReply(wire::claim_verdict::key_reused, result_code::key_reused, "the key belongs to another request of this caller");
+        break;
+    case claim_judgement::expired:
+        reply = makeReply(wire::claim_verdict::key_expired, result_code::key_expired, "the key is older than the time for which keys are remembered");
+        break;
+    case claim_judgement::lost:
+        reply = makeReply(wire::claim_verdict::refused, result_code::log_unavailable, "another attempt held the claim and has released it");
+        break;
+    case claim_judgement::exhausted:
+        reply = makeReply(wire::claim_verdict::refused, result_code::records_full, "the key was claimed and released too often; use a new key");
+        break;
+    }
+
+    if (record != nullptr) {
+        reply.dispatcher = static_cast<std::int64_t>(record->dispatcher);
+        reply.attempt = static_cast<std::int64_t>(record->attempt);
+    }
+    return reply;
+}
+
+wire::claim_reply makeReply(wire::claim_verdict::type verdict, result_code code, std::string reason)
+{
+    wire::claim_reply reply;
+    reply.verdict = verdict;
+    reply.code = static_cast<std::int32_t>(code);
+    reply.reason = std::move(reason);
+    return reply;
+}
+
+} // namespace parsleyglade
--- a/src/jobs/dispatch_ledger.cpp
+++ b/src/jobs/dispatch_ledger.cpp
@@ -108,10 +108,16 @@
     if (isOther) {
         return {};
     }
+    auto code = resultCodeFromNumber(reply.code).value_or(result_code::internal_error);
+    if (code == result_code::log_append_unknown) {
+        // The coordinator can't exclude that the claim is still written, which is the same as a second request under way.
+        ++found->second.requests;
+        code = result_code::dispatcher_lost;
+    }
     if (isGrant && found->second.report && found->second.report->result == wire::job_result::released) {
         schedule(attempt, found->second, now);
     }
-    return apply(attempt, eventOf(reply), resultCodeFromNumber(reply.code).value_or(result_code::internal_error), now);
+    return apply(attempt, eventOf(reply), code, now);
 }
 
 bool dispatch_ledger::startSend(attempt_id attempt)
@@ -261,7 +267,10 @@
         record.answer = decision.answer;
     }
 
-    const ledger_decision result{decision.answer, decision.action, decision.answer == job_answer::still_running ? result_code::still_running : code};
+    const bool isRefused = event == job_event::claim_refused || event == job_event::claim_reused;
+    const bool isProvisional = decision.answer == job_answer::not_run && before == attempt_state::claiming && !isRefused;
+    const ledger_decision result{decision.answer, decision.action, decision.answer == job_answer::still_running ? result_code::still_running : code,
+                                 isProvisional};
     if (before != attempt_state::finished && decision.next == attempt_state::finished) {
         setReport(attempt, record, decision.report, code, now);
     }
--- a/src/jobs/dispatch_ledger.h
+++ b/src/jobs/dispatch_ledger.h
@@ -63,6 +63,12 @@
     job_action action = job_action::none;
     result_code code = result_code::ok; /**< Reason of an answer other than completed. */
 
+    /**
+     * With not_run: the log has not decided the key, so an earlier request with the same key may have run. The caller learns the truth by asking again with
+     * the same key. A not_run that isn't provisional holds for the key: no request with it has run the job so far.
+     */
+    bool isProvisional = false;
+
     friend bool operator==(const ledger_decision &, const ledger_decision &) = default;
 };
 
--- /dev/null
+++ b/src/jobs/held_reports.cpp
@@ -0,0 +1,143 @@
+#include "jobs/held_reports.h"
+
+namespace parsleyglade {
+
+std::optional<report_key> held_reports::add(const wire::result_entry &entry, std::optional<wire::kept_answer> answer)
+{
+    const auto key = job_key::fromBytes(entry.key);
+    if (!key) {
+        return std::nullopt;
+    }
+
+    const report_key name{claim_identity{*key, caller_id{entry.caller}}, attempt_id{entry.attempt}, static_cast<int>(entry.result)};
+    held_report &report = m_reports[name];
+    report.entry = entry;
+    if (answer) {
+        report.answer = std::move(answer);
+    }
+    return name;
+}
+
+held_report *held_reports::find(const report_key &key)
+{
+    const auto found = m_reports.find(key);
+    return found == m_reports.end() ? nullptr : &found->second;
+}
+
+void held_reports::remove(const report_key &key)
+{
+    const auto found = m_reports.find(key);
+    if (found != m_reports.end()) {
+        m_inFlight -= found->second.isInFlight ? 1 : 0;
+        m_reports.erase(found);
+    }
+}
+
+std::vector<report_key> held_reports::takeForBatch(std::size_t maximum)
+{
+    std::vector<report_key> taken;
+    for (auto &[key, report] : m_reports) {
+        if (taken.size() == maximum) {
+            break;
+        }
+        if (!report.isInFlight) {
+            report.isInFlight = true;
+            taken.push_back(key);
+        }
+    }
+    m_inFlight += taken.size();
+    return taken;
+}
+
+void held_reports::putBack(const std::vector<report_key> &keys)
+{
+    for (const report_key &key : keys) {
+        held_report *report = find(key);
+        if (report != nullptr && report->isInFlight) {
+            report->isInFlight = false;
+            --m_inFlight;
+        }
+    }
+}
+
+std::vector<reply_handle> held_reports::takeDue(time_point now)
+{
+    std::vector<reply_handle> due;
+    for (auto position = m_reports.begin(); position != m_reports.end();) {
+        held_report &report = position->second;
+        const bool isOwn = report.waiting.empty();
+        std::erase_if(report.waiting, [&](const auto &item) {
+            if (item.second <= now) {
+                due.push_back(item.first);
+            }
+            return item.second <= now;
+        });
+
+        // Nobody waits any more: the dispatcher will repeat the report, so there is no need to keep it.
+        const bool isAbandoned = !isOwn && report.waiting.empty() && !report.isInFlight;
+        position = isAbandoned ? m_reports.erase(position) : std::next(position);
+    }
+    return due;
+}
+
+std::vector<report_key> held_reports::all() const
+{
+    std::vector<report_key> keys;
+    keys.reserve(m_reports.size());
+    for (const auto &[key, report] : m_reports) {
+        keys.push_back(key);
+    }
+    return keys;
+}
+
+std::vector<reply_handle> held_reports::takeAll()
+{
+    std::vector<reply_handle> handles;
+    for (const auto &[key, report] : m_reports) {
+        for (const auto &[handle, deadline] : report.waiting) {
+            handles.push_back(handle);
+        }
+    }
+    m_reports.clear();
+    m_inFlight = 0;
+    return handles;
+}
+
+bool held_reports::hasPending() const
+{
+    return m_reports.size() > m_inFlight;
+}
+
+std::size_t held_reports::size() const
+{
+    return m_reports.size();
+}
+
+bool isSettled(const claim_fold &fold, const report_key &key, bool isFolded)
+{
+    const auto &[identity, attempt, result] = key;
+    const claim_record *record = fold.find(identity);
+    if (fold.isExpired(identity.key)) {
+        return true;
+    }
+
+    if (result == wire::job_result::released) {
+        if (record == nullptr) {
+            // The fold was full and could not remember the release; only a later try can succeed.
+            return false;
+        }
+        const bool isFinal = record->state == claim_state::completed && record->attempt == attempt;
+        return isFinal || isFolded || record->isVoid(attempt);
+    }
+
+    // A completed or unknown job was claimed before it was sent, so a record that doesn't name the attempt has not folded the claim yet.
+    if (isFolded) {
+        return true;
+    }
+    if (record == nullptr || record->attempt != attempt) {
+        return false;
+    }
+    return result == wire::job_result::completed ? record->state == claim_state::completed : record->state != claim_state::open;
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/jobs/held_requests.cpp
@@ -0,0 +1,84 @@
+#include "jobs/held_requests.h"
+
+#include <cassert>
+
+namespace parsleyglade {
+
+held_request &held_requests::add(reply_handle handle, held_request request)
+{
+    assert(!m_requests.contains(handle));
+    m_byIdentity.emplace(request.identity, handle);
+    m_byDeadline.emplace(request.deadline, handle);
+    return m_requests.emplace(handle, std::move(request)).first->second;
+}
+
+held_request *held_requests::find(reply_handle handle)
+{
+    const auto found = m_requests.find(handle);
+    return found == m_requests.end() ? nullptr : &found->second;
+}
+
+void held_requests::setDeadline(reply_handle handle, time_point deadline)
+{
+    held_request *held = find(handle);
+    assert(held != nullptr);
+    m_byDeadline.erase({held->deadline, handle});
+    held->deadline = deadline;
+    m_byDeadline.emplace(deadline, handle);
+}
+
+void held_requests::remove(reply_handle handle)
+{
+    const auto found = m_requests.find(handle);
+    if (found == m_requests.end()) {
+        return;
+    }
+
+    m_byIdentity.erase({found->second.identity, handle});
+    m_byDeadline.erase({found->second.deadline, handle});
+    m_requests.erase(found);
+}
+
+std::vector<reply_handle> held_requests::of(const claim_identity &identity) const
+{
+    std::vector<reply_handle> handles;
+    for (auto position = m_byIdentity.lower_bound({identity, reply_handle{0}}); position != m_byIdentity.end() && position->first == identity; ++position) {
+        handles.push_back(position->second);
+    }
+    return handles;
+}
+
+std::vector<reply_handle> held_requests::all() const
+{
+    std::vector<reply_handle> handles;
+    handles.reserve(m_requests.size());
+    for (const auto &[handle, held] : m_requests) {
+        handles.push_back(handle);
+    }
+    return handles;
+}
+
+std::vector<reply_handle> held_requests::due(time_point now) const
+{
+    std::vector<reply_handle> handles;
+    for (const auto &[deadline, handle] : m_byDeadline) {
+        if (deadline > now) {
+            break;
+        }
+        handles.push_back(handle);
+    }
+    return handles;
+}
+
+time_point held_requests::firstDeadline() const
+{
+    assert(!m_byDeadline.empty());
+    return m_byDeadline.begin()->first;
+}
+
+std::size_t held_requests::size() const
+{
+    return m_requests.size();
+}
+
+} // namespace parsleyglade
--- a/tests/jobs/decision_table_test.cpp
+++ b/tests/jobs/decision_table_test.cpp
@@ -205,7 +205,7 @@
     fixture world;
     const attempt_id attempt = world.begin();
     CHECK(world.ledger.abandon(attempt, result_code::log_unavailable, start)
-          == ledger_decision{job_answer::not_run, job_action::none, result_code::log_unavailable});
+          == ledger_decision{job_answer::not_run, job_action::none, result_code::log_unavailable, true});
     CHECK(world.ledger.dueReports(start, 10).size() == 1);
     CHECK(world.ledger.dueReports(start, 10).empty());
     CHECK(world.happen(attempt, job_event::claim_granted).action == job_action::none);
