--- /dev/null
+++ b/src/platform/standin/standin_host_list.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "platform/fake_host_list.h"
+#include "platform/standin/standin_server.h"
+
+namespace parsleyglade {
+
+/** Stand-in for the platform's host list: a fake_host_list behind the HTTP protocol in docs/standins.md. */
+class standin_host_list
+{
+public:
+    /** Listens at IP:PORT. @see standin_server */
+    standin_host_list(event_loop &loop, const std::string &address);
+    standin_host_list(const standin_host_list &) = delete;
+    standin_host_list &operator=(const standin_host_list &) = delete;
+
+    const std::string &address() const;
+
+    /** The list itself, for tests in the same process. */
+    fake_host_list &list();
+
+private:
+    void handle(const std::shared_ptr<standin_exchange> &exchange);
+    void handleFaults(const std::shared_ptr<standin_exchange> &exchange);
+
+    fake_host_list m_list;
+    standin_server m_server;
+};
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/platform/standin/standin_log.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "platform/fake_log.h"
+#include "platform/standin/standin_server.h"
+
+namespace parsleyglade {
+
+/** Stand-in for the platform's log: a fake_log behind the HTTP protocol in docs/standins.md. */
+class standin_log
+{
+public:
+    /** Listens at IP:PORT. @see standin_server */
+    standin_log(event_loop &loop, const std::string &address, fake_log_settings settings);
+    standin_log(const standin_log &) = delete;
+    standin_log &operator=(const standin_log &) = delete;
+
+    const std::string &address() const;
+
+    /** The log itself, for tests in the same process. */
+    fake_log &log();
+
+private:
+    using exchange_pointer = std::shared_ptr<standin_exchange>;
+
+    void handle(const exchange_pointer &exchange);
+    void handleAppend(const exchange_pointer &exchange, const std::string &stream);
+    void handleRead(const exchange_pointer &exchange, const std::string &stream);
+    void handleFaults(const exchange_pointer &exchange);
+    void handleTrim(const exchange_pointer &exchange);
+
+    fake_log m_log;
+    standin_server m_server;
+};
+
+} // namespace parsleyglade
