--- /dev/null
+++ b/src/platform/standin/standin_endpoint.cpp
@@ -0,0 +1,283 @@
+#include "platform/standin/standin_endpoint.h"
+
+#include "platform/standin/settings_reader.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace parsleyglade {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int statusOk = 200;
+constexpr int statusBadRequest = 400;
+constexpr int statusNotFound = 404;
+constexpr int statusServerError = 500;
+constexpr int statusUnavailable = 503;
+constexpr std::size_t maximumTimesKept = 10'000;
+
+double toMilliseconds(duration value)
+{
+    return std::chrono::duration<double, std::milli>(value).count();
+}
+
+std::string problem(const std::string &reason)
+{
+    return json{{"reason", reason}}.dump();
+}
+
+} // namespace
+
+standin_endpoint::standin_endpoint(event_loop &loop, const std::string &address, standin_endpoint_settings settings)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_random(m_settings.seed)
+    , m_calls(loop)
+    , m_server(loop, address, [this](const exchange_pointer &exchange) { handle(exchange); })
+{
+}
+
+const std::string &standin_endpoint::address() const
+{
+    return m_server.address();
+}
+
+const standin_endpoint_faults &standin_endpoint::faults() const
+{
+    return m_faults;
+}
+
+void standin_endpoint::setFaults(const standin_endpoint_faults &faults)
+{
+    if (faults.leave && !m_faults.leave) {
+        m_leavingSince = m_loop.now();
+        m_receivedWhileLeaving = 0;
+        m_receivedAfterLeaving.clear();
+        m_latestAfterLeaving = duration::zero();
+    }
+    m_faults = faults;
+
+    if (m_faults.hang <= 0) {
+        const auto hung = std::exchange(m_hung, {});
+        for (const exchange_pointer &exchange : hung) {
+            exchange->drop();
+            --m_running;
+            ++m_finished;
+        }
+        startQueued();
+    }
+}
+
+std::uint64_t standin_endpoint::executionCount(const std::string &key) const
+{
+    const auto found = m_executions.find(key);
+    return found == m_executions.end() ? 0 : found->second;
+}
+
+void standin_endpoint::handle(const exchange_pointer &exchange)
+{
+    const std::string &method = exchange->method();
+    const std::string &path = exchange->path();
+    m_mostConnections = std::max(m_mostConnections, m_server.connectionCount());
+    if (path == "/health" && method == "GET") {
+        handleHealth(exchange);
+    } else if (path == "/v1/faults" && method == "PUT") {
+        handleFaults(exchange);
+    } else if (path == "/v1/executions" && method == "GET") {
+        handleExecutions(exchange);
+    } else if (path == "/v1/executions" && method == "DELETE") {
+        m_executions.clear();
+        exchange->replyJson(statusOk, "{}");
+    } else if (path.rfind("/v1/", 0) == 0) {
+        exchange->replyJson(statusNotFound, problem("no such path or method"));
+    } else {
+        handleJob(exchange);
+    }
+}
+
+void standin_endpoint::handleHealth(const exchange_pointer &exchange)
+{
+    if (m_faults.failHealth) {
+        exchange->replyJson(statusServerError, problem("the health check fails on request"));
+        return;
+    }
+    const json body{{"state", m_faults.leave ? "leaving" : "serving"}, {"running", m_running}, {"slots", m_settings.slots}};
+    exchange->replyJson(statusOk, body.dump());
+}
+
+void standin_endpoint::handleFaults(const exchange_pointer &exchange)
+{
+    standin_endpoint_faults faults = m_faults;
+    const std::string wrong = settings_reader()
+                                  .addShare("refuse", faults.refuse)
+                                  .addShare("fail", faults.fail)
+                                  .addShare("hang", faults.hang)
+                                  .addShare("cutAnswers", faults.cutAnswers)
+                                  .addShare("otherRequestIds", faults.otherRequestIds)
+                                  .addShare("surplusAnswers", faults.surplusAnswers)
+                                  .addShare("lateAnswers", faults.lateAnswers)
+                                  .addMilliseconds("lateMilliseconds", faults.lateTime)
+                                  .addMilliseconds("slowMilliseconds", faults.slowTime)
+                                  .add("failHealth", faults.failHealth)
+                                  .add("leave", faults.leave)
+                                  .apply(exchange->body());
+    if (!wrong.empty()) {
+        exchange->replyJson(statusBadRequest, problem(wrong));
+        return;
+    }
+    setFaults(faults);
+    exchange->replyJson(statusOk, "{}");
+}
+
+void standin_endpoint::handleExecutions(const exchange_pointer &exchange)
+{
+    json times = json::array();
+    for (const duration time : m_receivedAfterLeaving) {
+        times.push_back(toMilliseconds(time));
+    }
+    const json leaving{{"received", m_receivedWhileLeaving}, {"latestMilliseconds", toMilliseconds(m_latestAfterLeaving)}, {"milliseconds", std::move(times)}};
+    const json body{{"host", m_settings.host}, {"executions", m_executions}, {"received", m_received},
+                    {"refused", m_refused},    {"started", m_started},       {"finished", m_finished},
+                    {"running", m_running},    {"queued", m_queue.size()},   {"mostConnections", m_mostConnections},
+                    {"leaving", leaving}};
+    exchange->replyJson(statusOk, body.dump());
+}
+
+void standin_endpoint::handleJob(const exchange_pointer &exchange)
+{
+    ++m_received;
+    if (m_faults.leave) {
+        m_latestAfterLeaving = m_loop.now() - m_leavingSince;
+        ++m_receivedWhileLeaving;
+        if (m_receivedAfterLeaving.size() < maximumTimesKept) {
+            m_receivedAfterLeaving.push_back(m_latestAfterLeaving);
+        }
+    }
+
+    if (!m_server.isAmongFirst(*exchange, m_settings.connections)) {
+        refuse(exchange, "too many connections");
+        return;
+    }
+    if (chance(m_faults.refuse)) {
+        refuse(exchange, "refused on request");
+        return;
+    }
+
+    m_queue.push_back(exchange);
+    startQueued();
+}
+
+void standin_endpoint::refuse(const exchange_pointer &exchange, const std::string &reason)
+{
+    ++m_refused;
+    exchange->replyJson(statusUnavailable, problem(reason),
+                        {{"Job-Not-Started", "true"}, {"Retry-After", "1"}, {"Request-Id", exchange->header("Request-Id")}, {"Connection", "close"}});
+}
+
+void standin_endpoint::startQueued()
+{
+    while (!m_queue.empty() && m_running < m_settings.slots) {
+        const exchange_pointer exchange = m_queue.front();
+        m_queue.pop_front();
+        start(exchange);
+    }
+}
+
+void standin_endpoint::start(const exchange_pointer &exchange)
+{
+    ++m_running;
+    const std::uint64_t sequence = ++m_started;
+    if (const std::string &key = exchange->header("Idempotency-Key"); !key.empty()) {
+        ++m_executions[key];
+    }
+
+    const answer_kind kind = drawAnswer();
+    if (kind == answer_kind::hang) {
+        m_hung.push_back(exchange);
+        return;
+    }
+
+    duration runTime = m_settings.runTime;
+    const std::string &text = exchange->header("Job-Run-Milliseconds");
+    std::uint32_t milliseconds = 0;
+    if (!text.empty() && std::from_chars(text.data(), text.data() + text.size(), milliseconds).ptr == text.data() + text.size()) {
+        runTime = std::chrono::milliseconds{milliseconds};
+    }
+    runTime = kind == answer_kind::fail ? duration::zero() : runTime + m_faults.slowTime;
+    m_calls.after(runTime, [this, exchange, kind, sequence] { finish(exchange, kind, sequence); });
+}
+
+void standin_endpoint::finish(const exchange_pointer &exchange, answer_kind kind, std::uint64_t sequence)
+{
+    --m_running;
+    ++m_finished;
+    if (kind == answer_kind::late) {
+        m_calls.after(m_faults.lateTime, [this, exchange, kind, sequence] { answer(exchange, kind, sequence); });
+    } else {
+        answer(exchange, kind, sequence);
+    }
+    startQueued();
+}
+
+void standin_endpoint::answer(const exchange_pointer &exchange, answer_kind kind, std::uint64_t sequence)
+{
+    const std::string number = std::to_string(sequence);
+    standin_exchange::header_list headers{{"Content-Type", "application/octet-stream"}, {"Endpoint-Host", m_settings.host}, {"Endpoint-Sequence", number}};
+    std::string requestId = exchange->header("Request-Id");
+    std::string body = "host=" + m_settings.host + " sequence=" + number + '\n';
+    if (kind == answer_kind::other_request_id) {
+        requestId += "-other";
+        body += "answer to another request";
+    } else {
+        body += exchange->body();
+    }
+    if (!requestId.empty()) {
+        headers.emplace_back("Request-Id", requestId);
+    }
+
+    switch (kind) {
+    case answer_kind::fail:
+        exchange->reply(statusServerError, headers, body);
+        return;
+    case answer_kind::cut:
+        exchange->replyCut(statusOk, headers, body, body.size() / 2);
+        return;
+    case answer_kind::surplus:
+        exchange->replyWithSurplus(statusOk, headers, body, "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\nsurplus answer");
+        return;
+    case answer_kind::whole:
+    case answer_kind::late:
+    case answer_kind::other_request_id:
+    case answer_kind::hang:
+        exchange->reply(statusOk, headers, body);
+        return;
+    }
+}
+
+standin_endpoint::answer_kind standin_endpoint::drawAnswer()
+{
+    const std::pair<double, answer_kind> rows[] = {
+        {m_faults.fail, answer_kind::fail},
+        {m_faults.hang, answer_kind::hang},
+        {m_faults.cutAnswers, answer_kind::cut},
+        {m_faults.otherRequestIds, answer_kind::other_request_id},
+        {m_faults.surplusAnswers, answer_kind::surplus},
+        {m_faults.lateAnswers, answer_kind::late},
+    };
+    for (const auto &[share, kind] : rows) {
+        if (chance(share)) {
+            return kind;
+        }
+    }
+    return answer_kind::whole;
+}
+
+bool standin_endpoint::chance(double share)
+{
+    return share > 0 && std::uniform_real_distribution<double>(0, 1)(m_random) < share;
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/platform/standin/standin_endpoint.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "platform/delayed_calls.h"
+#include "platform/standin/standin_endpoint_faults.h"
+#include "platform/standin/standin_endpoint_settings.h"
+#include "platform/standin/standin_server.h"
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <random>
+
+namespace parsleyglade {
+
+/** Stand-in for a host that runs a service's jobs: it waits instead of working, and counts the executions of every key. */
+class standin_endpoint
+{
+public:
+    /** Listens at IP:PORT. @see standin_server */
+    standin_endpoint(event_loop &loop, const std::string &address, standin_endpoint_settings settings);
+    standin_endpoint(const standin_endpoint &) = delete;
+    standin_endpoint &operator=(const standin_endpoint &) = delete;
+
+    const std::string &address() const;
+
+    const standin_endpoint_faults &faults() const;
+    void setFaults(const standin_endpoint_faults &faults);
+
+    /** How often jobs with this key were started. */
+    std::uint64_t executionCount(const std::string &key) const;
+
+private:
+    using exchange_pointer = std::shared_ptr<standin_exchange>;
+
+    /** What the faults drawn for a job make of its answer. */
+    enum class answer_kind {
+        whole,
+        fail,
+        hang,
+        cut,
+        other_request_id,
+        surplus,
+        late,
+    };
+
+    void handle(const exchange_pointer &exchange);
+    void handleFaults(const exchange_pointer &exchange);
+    void handleHealth(const exchange_pointer &exchange);
+    void handleExecutions(const exchange_pointer &exchange);
+    void handleJob(const exchange_pointer &exchange);
+    void refuse(const exchange_pointer &exchange, const std::string &reason);
+    void startQueued();
+    void start(const exchange_pointer &exchange);
+    void finish(const exchange_pointer &exchange, answer_kind kind, std::uint64_t sequence);
+    void answer(const exchange_pointer &exchange, answer_kind kind, std::uint64_t sequence);
+    answer_kind drawAnswer();
+    bool chance(double share);
+
+    event_loop &m_loop;
+    standin_endpoint_settings m_settings;
+    standin_endpoint_faults m_faults;
+    std::mt19937_64 m_random;
+    std::deque<exchange_pointer> m_queue;
+    std::list<exchange_pointer> m_hung;
+    std::size_t m_running = 0;
+    std::map<std::string, std::uint64_t> m_executions;
+    std::uint64_t m_received = 0;
+    std::uint64_t m_refused = 0;
+    std::uint64_t m_started = 0;
+    std::uint64_t m_finished = 0;
+    std::size_t m_mostConnections = 0;
+    time_point m_leavingSince;
+    std::uint64_t m_receivedWhileLeaving = 0;
+    std::vector<duration> m_receivedAfterLeaving; /**< Time since leaving began of each job received while leaving, up to a bound. */
+    duration m_latestAfterLeaving{};
+    delayed_calls m_calls;
+    standin_server m_server;
+};
+
+} // namespace parsleyglade
--- /dev/null
+++ b/tests/platform/standin_endpoint_test.cpp
@@ -0,0 +1,176 @@
+#include "loop_support.h"
+#include "platform/http_requester.h"
+#include "platform/standin/standin_endpoint.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace parsleyglade;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct endpoint_fixture
+{
+    event_loop loop;
+    standin_endpoint endpoint{loop, "127.0.0.1:0", {}};
+    http_requester requester{loop, settings()};
+
+    static http_requester_settings settings()
+    {
+        http_requester_settings result;
+        result.maximumConnections = 100;
+        return result;
+    }
+
+    http_request job(const std::string &key, const std::string &body, int milliseconds = 1) const
+    {
+        http_request request;
+        request.address = endpoint.address();
+        request.method = "POST";
+        request.target = "/lathe/paths";
+        request.headers = {{"Idempotency-Key", key}, {"Request-Id", "r-" + key}, {"Job-Run-Milliseconds", std::to_string(milliseconds)}};
+        request.body = body;
+        request.timeLimit = 500ms;
+        return request;
+    }
+
+    http_answer send(const http_request &request)
+    {
+        return runUntilDone<http_answer>(loop, [&](auto done) { requester.send(request, done); }).value();
+    }
+
+    nlohmann::json get(const std::string &target)
+    {
+        http_request request;
+        request.address = endpoint.address();
+        request.target = target;
+        return nlohmann::json::parse(send(request).body);
+    }
+
+    int setFaults(const std::string &text)
+    {
+        http_request request;
+        request.address = endpoint.address();
+        request.method = "PUT";
+        request.target = "/v1/faults";
+        request.body = text;
+        return send(request).status;
+    }
+};
+
+struct fault_case
+{
+    const char *faults;
+    http_delivery delivery;
+    int status;
+    std::uint64_t executions;
+};
+
+} // namespace
+
+// Guards against an oracle that misses executions, and against a stand-in whose answer cannot be told from another's.
+TEST_CASE("a stand-in endpoint echoes the job and counts its key")
+{
+    endpoint_fixture fixture;
+    const std::string body("\0\xffjob", 5);
+    for (int count = 1; count <= 2; ++count) {
+        const http_answer answer = fixture.send(fixture.job("k", body));
+        CHECK(answer.status == 200);
+        CHECK(answer.header("Request-Id") == "r-k");
+        CHECK(answer.body == "host=endpoint sequence=" + std::to_string(count) + '\n' + body);
+    }
+    CHECK(fixture.get("/v1/executions")["executions"]["k"] == 2);
+    CHECK(fixture.get("/health") == nlohmann::json{{"state", "serving"}, {"running", 0}, {"slots", 8}});
+}
+
+// Guards against fault switches that do something else, or that count an execution that did not happen.
+TEST_CASE("each fault of a stand-in endpoint shows")
+{
+    const std::vector<fault_case> cases{
+        {R"({"refuse":true})", http_delivery::answered, 503, 0},
+        {R"({"fail":1})", http_delivery::answered, 500, 1},
+        {R"({"hang":1})", http_delivery::failed, 0, 1},
+        {R"({"cutAnswers":1})", http_delivery::failed, 0, 1},
+        {R"({"otherRequestIds":1})", http_delivery::answered, 200, 1},
+        {R"({"surplusAnswers":1})", http_delivery::answered, 200, 1},
+        {R"({"lateAnswers":1,"lateMilliseconds":700})", http_delivery::failed, 0, 1},
+        {R"({"slowMilliseconds":700})", http_delivery::failed, 0, 1},
+    };
+
+    for (const fault_case &item : cases) {
+        INFO(item.faults);
+        endpoint_fixture fixture;
+        REQUIRE(fixture.setFaults(item.faults) == 200);
+        const http_answer answer = fixture.send(fixture.job("k", "body"));
+        CHECK(answer.delivery == item.delivery);
+        CHECK(answer.status == item.status);
+        CHECK((answer.header("Job-Not-Started") == "true") == (item.status == 503));
+        CHECK((answer.header("Request-Id") == "r-k") == (item.status != 0 && item.faults != std::string(R"({"otherRequestIds":1})")));
+        CHECK(fixture.endpoint.executionCount("k") == item.executions);
+
+        fixture.endpoint.setFaults({});
+        runFor(fixture.loop, 5ms);
+        CHECK(fixture.send(fixture.job("after", "body")).body.find("\nbody") != std::string::npos);
+    }
+
+    endpoint_fixture fixture;
+    CHECK(fixture.setFaults(R"({"hang":2})") == 400);
+    CHECK(fixture.setFaults(R"({"unknown":1})") == 400);
+    CHECK(fixture.setFaults("[]") == 400);
+}
+
+// Guards against a drain bound measured from counts that miss work, or from a wrong start.
+TEST_CASE("a leaving stand-in endpoint accepts work and records when it came")
+{
+    endpoint_fixture fixture;
+    fixture.send(fixture.job("before", "x"));
+    REQUIRE(fixture.setFaults(R"({"leave":true})") == 200);
+    runFor(fixture.loop, 100ms);
+    CHECK(fixture.get("/health")["state"] == "leaving");
+    CHECK(fixture.send(fixture.job("during", "x")).status == 200);
+
+    const auto leaving = fixture.get("/v1/executions")["leaving"];
+    CHECK(leaving["received"] == 1);
+    CHECK(leaving["latestMilliseconds"] >= 95.0);
+    CHECK(leaving["latestMilliseconds"] <= 2000.0);
+}
+
+// Guards against an endpoint that runs more at once than its slots, or takes more connections than it has.
+TEST_CASE("a stand-in endpoint bounds its slots and connections")
+{
+    endpoint_fixture fixture;
+    std::vector<std::string> order;
+    int refused = 0;
+    for (int index = 0; index < 70; ++index) {
+        fixture.requester.send(fixture.job(std::to_string(index), "x", 20), [&, index](const http_answer &answer) {
+            refused += answer.status == 503 ? 1 : 0;
+            if (answer.status == 200) {
+                order.push_back(std::to_string(index));
+            }
+        });
+    }
+    runFor(fixture.loop, 10ms);
+    CHECK(fixture.get("/health")["running"] == 8);
+    runFor(fixture.loop, 400ms);
+    CHECK(refused == 6);
+    CHECK(order.size() == 64);
+}
+
+// Guards against a queue that lets later work overtake earlier work, which would hide head-of-line blocking from measurements.
+TEST_CASE("a stand-in endpoint serves its queue in order of arrival")
+{
+    endpoint_fixture fixture;
+    standin_endpoint_settings settings;
+    settings.slots = 1;
+    standin_endpoint narrow(fixture.loop, "127.0.0.1:0", settings);
+    std::vector<std::string> order;
+    for (const char *key : {"a", "b", "c"}) {
+        http_request request = fixture.job(key, "x", key[0] == 'a' ? 50 : 1);
+        request.address = narrow.address();
+        fixture.requester.send(request, [&order, key](const http_answer &) { order.emplace_back(key); });
+        runFor(fixture.loop, 10ms);
+    }
+    runFor(fixture.loop, 150ms);
+    CHECK(order == std::vector<std::string>{"a", "b", "c"});
+}
