--- /dev/null
+++ b/daemons/parsleygladed/main.cpp
@@ -0,0 +1,82 @@
+#include "entry/entry.h"
+
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace {
+
+using namespace parsleyglade;
+
+constexpr int exitBadSettings = 1;
+constexpr int exitCannotStart = 3;
+
+std::optional<entry_settings> loadSettings(const std::string &path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file) {
+        std::cerr << "cannot read the settings file " << path << '\n';
+        return std::nullopt;
+    }
+
+    const auto settings = parseEntrySettings(text.str());
+    if (!settings) {
+        for (const failure &found : settings.failures()) {
+            std::cerr << path << found.pointer << ": " << name(found.code) << " (" << static_cast<int>(found.code) << "): " << found.reason << ' '
+                      << describe(found.code).remedy << '\n';
+        }
+        return std::nullopt;
+    }
+    return *settings;
+}
+
+int serve(const entry_settings &settings)
+{
+    setUpLogging(settings.logLevel, settings.entryHost);
+    event_loop loop;
+
+    http_log_client_settings logSettings;
+    logSettings.addresses = settings.logAddresses;
+    http_log_client log(loop, logSettings);
+    http_host_list_client_settings hostListSettings;
+    hostListSettings.addresses = settings.hostListAddresses;
+    http_host_list_client hostList(loop, hostListSettings);
+
+    entry_daemon daemon(loop, settings, log, hostList);
+    if (const auto started = daemon.start(); !started) {
+        std::cerr << started.lastReason().reason << '\n';
+        return exitCannotStart;
+    }
+
+    const auto stop = [&] {
+        daemon.stop([&loop] { loop.stop(); });
+    };
+    loop.onSignal(SIGTERM, stop);
+    loop.onSignal(SIGINT, stop);
+    loop.run();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char *argv[])
+{
+    CLI::App app{"Entry daemon of parsleyglade: takes callers' jobs and places them on the endpoints of its data centre."};
+    std::string settingsPath;
+    bool checkOnly = false;
+    app.add_option("--settings", settingsPath, "JSON settings file of this process")->required();
+    app.add_flag("--check", checkOnly, "Check the settings file and exit: 0 when it is correct, 1 when not");
+    app.footer("SIGTERM and SIGINT stop the process gracefully: it finishes the requests in flight, up to drainLimitMilliseconds.");
+    CLI11_PARSE(app, argc, argv);
+
+    const auto settings = loadSettings(settingsPath);
+    if (!settings) {
+        return exitBadSettings;
+    }
+    return checkOnly ? 0 : serve(*settings);
+}
--- /dev/null
+++ b/scripts/lib/cluster.sh
@@ -0,0 +1,192 @@
+# Functions to run a whole deployment on loopback: stand-ins and seven entry hosts in four data centres.
+# Source it, then: cluster_prepare <build folder> <deployment> <two-digit port prefix>; cluster_start; ...; cluster_stop.
+# Ports: <prefix>001.. endpoints, <prefix>101.. callers, <prefix>201.. operators, <prefix>301.. peers, <prefix>900 log, <prefix>901 host list.
+
+cluster_root=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
+declare -A cluster_pids=()
+cluster_entry_count=7
+cluster_operator_token=operator-demo-token
+cluster_caller_token=clinic-demo-token
+cluster_other_caller_token=workshop-demo-token
+
+cluster_sha256() { printf '%s' "$1" | sha256sum | cut -d' ' -f1; }
+
+# Sets the names and writes tables, host list and settings to a temporary folder.
+cluster_prepare() {
+    cluster_build=$1
+    cluster_deployment=$2
+    cluster_prefix=$3
+    cluster_dir=$(mktemp -d)
+    case $cluster_deployment in
+    hung-phat) cluster_region=hai-phong cluster_data_centres=(an-duong le-chan hong-bang kien-an) ;;
+    austral-pistas) cluster_region=patagonia cluster_data_centres=(ushuaia rio-grande el-calafate bariloche) ;;
+    esac
+
+    local table
+    for table in routes pools; do
+        sed -E "s/127\.0\.0\.1:2[0-9]/127.0.0.1:$cluster_prefix/" "$cluster_root/examples/$cluster_deployment/$table.json" >"$cluster_dir/$table.json"
+    done
+    cluster_endpoint_names=$(grep -o '"host": "[^"]*"' "$cluster_dir/pools.json" | cut -d'"' -f4 | paste -sd,)
+    cluster_endpoint_count=$(grep -c '"host": "' "$cluster_dir/pools.json")
+    cluster_write_host_list
+    local number
+    for number in $(seq "$cluster_entry_count"); do
+        cluster_write_settings "$number"
+    done
+}
+
+cluster_entry_data_centre() { echo "${cluster_data_centres[$((($1 - 1) % 4))]}"; }
+cluster_caller_address() { echo "127.0.0.1:${cluster_prefix}10$1"; }
+cluster_admin_address() { echo "127.0.0.1:${cluster_prefix}20$1"; }
+cluster_peer_address() { echo "127.0.0.1:${cluster_prefix}30$1"; }
+cluster_log_address() { echo "127.0.0.1:${cluster_prefix}900"; }
+cluster_host_list_address() { echo "127.0.0.1:${cluster_prefix}901"; }
+cluster_endpoints() { echo "127.0.0.1:${cluster_prefix}001,$cluster_endpoint_count"; }
+
+cluster_write_host_list() {
+    local endpoints entries number
+    endpoints=$(grep '"host": "' "$cluster_dir/pools.json" | sed -E 's/^ *//; s/,$//' |
+        sed -E "s/^\{(.*)\}$/{\1, \"region\": \"$cluster_region\", \"role\": \"endpoint\", \"state\": \"live\"}/" | paste -sd,)
+    entries=""
+    for number in $(seq "$cluster_entry_count"); do
+        entries+=",{\"host\": \"entry-$number\", \"region\": \"$cluster_region\", \"dataCentre\": \"$(cluster_entry_data_centre "$number")\","
+        entries+=" \"rack\": \"entry\", \"address\": \"$(cluster_peer_address "$number")\", \"role\": \"entry\", \"state\": \"live\"}"
+    done
+    echo "{\"hosts\": [$endpoints$entries]}" >"$cluster_dir/hosts.json"
+}
+
+# Extra settings, such as '"claimStreams": 1,', may be given in cluster_extra_settings.
+cluster_write_settings() {
+    local number=$1
+    cat >"$cluster_dir/entry-$number.json" <<SETTINGS
+{
+    "entryHost": "entry-$number",
+    "region": "$cluster_region",
+    "dataCentre": "$(cluster_entry_data_centre "$number")",
+    "callerAddress": "$(cluster_caller_address "$number")",
+    "adminAddress": "$(cluster_admin_address "$number")",
+    "peerAddress": "$(cluster_peer_address "$number")",
+    "logAddresses": ["$(cluster_log_address)"],
+    "hostListAddresses": ["$(cluster_host_list_address)"],
+    "peers": ["$(cluster_peer_address 1)", "$(cluster_peer_address 2)"],
+    "peerKey": "shared-key-of-the-demonstration",
+    "operatorTokenSha256": "$(cluster_sha256 "$cluster_operator_token")",
+    ${cluster_extra_settings:-}
+    "callers": [
+        {"name": "clinic", "tokenSha256": "$(cluster_sha256 "$cluster_caller_token")", "team": "clinics", "share": 2.0},
+        {"name": "workshop", "tokenSha256": "$(cluster_sha256 "$cluster_other_caller_token")"}
+    ]
+}
+SETTINGS
+}
+
+# cluster_launch <name> <command...>: starts a process in the background, its output in <name>.log.
+cluster_launch() {
+    local name=$1
+    shift
+    "$@" >>"$cluster_dir/$name.log" 2>&1 &
+    cluster_pids[$name]=$!
+}
+
+cluster_launch_log() {
+    cluster_launch log "$cluster_build/standin-log" --listen "$(cluster_log_address)" --latency-milliseconds "${cluster_log_latency:-5}" "$@"
+}
+cluster_launch_host_list() {
+    cluster_launch hostlist "$cluster_build/standin-hostlist" --listen "$(cluster_host_list_address)" --hosts "$cluster_dir/hosts.json" "$@"
+}
+cluster_launch_endpoints() {
+    cluster_launch endpoints "$cluster_build/standin-endpoint" --listen "127.0.0.1:${cluster_prefix}001" --count "$cluster_endpoint_count" \
+        --names "$cluster_endpoint_names" "$@"
+}
+cluster_launch_entry() { cluster_launch "entry-$1" "$cluster_build/parsleygladed" --settings "$cluster_dir/entry-$1.json"; }
+
+cluster_start() {
+    cluster_launch_log
+    cluster_launch_host_list
+    cluster_launch_endpoints
+    local number
+    for number in $(seq "$cluster_entry_count"); do
+        cluster_launch_entry "$number"
+    done
+    for number in $(seq "$cluster_entry_count"); do
+        cluster_wait_until "entry-$number is up" cluster_admin "$number" /healthz
+    done
+}
+
+# cluster_wait_until <what> <command...>: repeats the command for up to 15 s.
+cluster_wait_until() {
+    local what=$1 attempt
+    shift
+    for attempt in $(seq 150); do
+        "$@" >/dev/null 2>&1 && return 0
+        sleep 0.1
+    done
+    echo "gave up after 15 s: $what" >&2
+    return 1
+}
+
+# cluster_admin <entry host number> <path> [curl options]: calls the operators' interface.
+cluster_admin() {
+    local number=$1 path=$2
+    shift 2
+    curl --silent --show-error --fail-with-body --max-time 10 -H "Authorization: Bearer $cluster_operator_token" "$@" "http://$(cluster_admin_address "$number")$path"
+}
+
+# cluster_call <entry host number> <path> [curl options]: sends a job as the caller "clinic".
+cluster_call() {
+    local number=$1 path=$2
+    shift 2
+    curl --silent --show-error --max-time 70 -H "Authorization: Bearer $cluster_caller_token" "$@" "http://$(cluster_caller_address "$number")$path"
+}
+
+# cluster_fault <address> <json>: sets a stand-in's fault switches.
+cluster_fault() { curl --silent --show-error --fail-with-body --max-time 5 -X PUT -d "$2" "http://$1/v1/faults" >/dev/null; }
+
+# A new UUID version 7.
+cluster_key() {
+    local random
+    random=$(od -An -N10 -tx1 /dev/urandom | tr -d ' \n')
+    local time
+    time=$(printf '%012x' "$(date +%s%3N)")
+    echo "${time:0:8}-${time:8:4}-7${random:0:3}-8${random:3:3}-${random:6:12}"
+}
+
+cluster_is_ready() { cluster_admin "$1" /readyz; }
+
+cluster_publish_examples() {
+    "$cluster_build/parsleyglade" --admin "$(cluster_admin_address 1)" publish --routes "$cluster_dir/routes.json" --pools "$cluster_dir/pools.json" \
+        --base-revision "${1:-0}" --author demo --wait
+}
+
+# cluster_signal <name> <signal>: sends a signal to one of the started processes.
+cluster_signal() { kill "-$2" "${cluster_pids[$1]}"; }
+
+# cluster_kill <name>: ends a process at once and forgets it.
+cluster_kill() {
+    kill -KILL "${cluster_pids[$1]}" 2>/dev/null
+    wait "${cluster_pids[$1]}" 2>/dev/null
+    unset "cluster_pids[$1]"
+}
+
+# Stops every process that was started, by its id.
+cluster_stop() {
+    local name
+    for name in "${!cluster_pids[@]}"; do
+        kill -CONT "${cluster_pids[$name]}" 2>/dev/null
+        kill -TERM "${cluster_pids[$name]}" 2>/dev/null
+    done
+    local attempt
+    for attempt in $(seq 50); do
+        local running=0
+        for name in "${!cluster_pids[@]}"; do
+            kill -0 "${cluster_pids[$name]}" 2>/dev/null && running=1
+        done
+        [ "$running" -eq 0 ] && break
+        sleep 0.1
+    done
+    for name in "${!cluster_pids[@]}"; do
+        kill -KILL "${cluster_pids[$name]}" 2>/dev/null
+        wait "${cluster_pids[$name]}" 2>/dev/null
+    done
+    cluster_pids=()
+}
--- /dev/null
+++ b/src/entry/caller_task.cpp
@@ -0,0 +1,207 @@
+#include "entry/caller_task.h"
+
+#include "core/digest.h"
+#include "entry/answers.h"
+#include "transport/socket_address.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <strings.h>
+
+namespace parsleyglade {
+
+namespace {
+
+constexpr std::string_view jobsPath = "/v1/jobs/";
+constexpr std::string_view bearer = "Bearer ";
+constexpr std::size_t maximumRequestIdBytes = 64;
+
+/** Requests of one caller that may wait for answers at one entry host. */
+constexpr std::size_t maximumInFlightOfCaller = 2000;
+
+http_server_settings makeServerSettings(const entry_settings &settings)
+{
+    http_server_settings made;
+    const auto address = parseSocketAddress(settings.callerAddress);
+    made.address = address ? address->address : std::string();
+    made.port = address ? address->port : std::uint16_t{0};
+    made.maximumConnections = settings.maximumCallerConnections;
+    made.maximumBodyBytes = settings.maximumBodyBytes;
+    return made;
+}
+
+/** Whether an endpoint gets a caller's header. The caller's token is not for endpoints, and this entry host sets the others itself. */
+bool isPassedOn(const std::string &header)
+{
+    constexpr std::array names{"Authorization", "Host", "Expect", "Request-Id", "Idempotency-Key"};
+    return !isHopByHop(header) && std::none_of(names.begin(), names.end(), [&](const char *name) { return ::strcasecmp(name, header.c_str()) == 0; });
+}
+
+} // namespace
+
+caller_task::caller_task(event_loop &loop, const entry_settings &settings, job_task &jobs)
+    : m_loop(loop)
+    , m_jobs(jobs)
+    , m_server(
+          loop, makeServerSettings(settings), [this](const std::shared_ptr<http_exchange> &exchange) { handle(exchange); },
+          [](result_code code) { return makeRefusal(code, {}); })
+{
+    for (const caller_settings &caller : settings.callers) {
+        m_callers.emplace(caller.tokenSha256, caller);
+    }
+}
+
+outcome<std::uint16_t> caller_task::start()
+{
+    return m_server.listen();
+}
+
+void caller_task::setTables(const std::shared_ptr<const tables> &published)
+{
+    m_tables = published;
+}
+
+void caller_task::stopAccepting()
+{
+    m_server.stopAccepting();
+}
+
+std::size_t caller_task::connectionCount() const
+{
+    return m_server.connectionCount();
+}
+
+const caller_settings *caller_task::authenticate(const http_request &request) const
+{
+    const auto header = findHeader(request.headers, "Authorization");
+    if (!header || header->substr(0, bearer.size()) != bearer) {
+        return nullptr;
+    }
+
+    const auto found = m_callers.find(toHex(sha256(header->substr(bearer.size()))));
+    return found == m_callers.end() ? nullptr : &found->second;
+}
+
+std::string caller_task::requestIdOf(const http_request &request)
+{
+    const auto given = findHeader(request.headers, "Request-Id");
+    const bool isUsable = given && !given->empty() && given->size() <= maximumRequestIdBytes && std::all_of(given->begin(), given->end(), [](char character) {
+                              return std::isalnum(static_cast<unsigned char>(character)) != 0 || character == '-' || character == '_' || character == '.';
+                          });
+    if (isUsable) {
+        return std::string(*given);
+    }
+
+    const std::uint64_t number = m_random();
+    return toHex({reinterpret_cast<const char *>(&number), sizeof(number)});
+}
+
+void caller_task::handle(const std::shared_ptr<http_exchange> &exchange)
+{
+    const http_request &request = exchange->request();
+    const std::string requestId = requestIdOf(request);
+    const caller_settings *caller = authenticate(request);
+    if (caller == nullptr) {
+        exchange->respond(makeRefusal(result_code::not_authenticated, {}, requestId));
+        return;
+    }
+
+    if (request.path.compare(0, jobsPath.size(), jobsPath) == 0) {
+        handleJobRequest(exchange, *caller, requestId);
+        return;
+    }
+
+    const route *via = m_tables->findRoute(request.method, request.path);
+    if (via == nullptr) {
+        const bool isOtherMethod = m_tables->routes().hasPath(request.path);
+        exchange->respond(makeRefusal(isOtherMethod ? result_code::method_not_allowed : result_code::unknown_route, {}, requestId));
+        return;
+    }
+
+    submit(exchange, *caller, *via, requestId);
+}
+
+outcome<std::optional<job_key>> caller_task::readKey(const http_request &request, const route &via)
+{
+    const auto header = findHeader(request.headers, "Idempotency-Key");
+    if (!header) {
+        if (!via.idempotent) {
+            return failure{result_code::key_required, "this job runs at most once and needs an Idempotency-Key", {}};
+        }
+        return std::optional<job_key>{};
+    }
+
+    const auto key = job_key::parse(*header);
+    if (!key) {
+        return key.lastReason();
+    }
+    return std::optional<job_key>{*key};
+}
+
+void caller_task::submit(const std::shared_ptr<http_exchange> &exchange, const caller_settings &caller, const route &via, const std::string &requestId)
+{
+    const http_request &request = exchange->request();
+    if (request.body.size() > static_cast<std::size_t>(via.maximumBodyBytes)) {
+        exchange->respond(makeRefusal(result_code::body_too_large, "the route takes smaller bodies only", requestId));
+        return;
+    }
+
+    const auto key = readKey(request, via);
+    if (!key) {
+        exchange->respond(makeRefusal(key.lastReason().code, key.lastReason().reason, requestId));
+        return;
+    }
+
+    std::size_t &inFlight = m_inFlight[caller.id()];
+    if (inFlight >= maximumInFlightOfCaller) {
+        const job_answer state = via.idempotent ? job_answer::not_run : job_answer::outcome_unknown;
+        exchange->respond(makeAnswer({state, result_code::caller_over_limit, {}, m_jobs.dispatch().retryAfter(), {}}, requestId, *key));
+        return;
+    }
+
+    ++inFlight;
+    const auto accepted = std::make_shared<job>();
+    accepted->via = via;
+    accepted->caller = caller.name;
+    accepted->callerId = caller.id();
+    accepted->share = caller.share;
+    accepted->key = *key;
+    accepted->requestId = requestId;
+    accepted->request = {request.method, request.path, request.query, {}, request.body};
+    std::copy_if(request.headers.begin(), request.headers.end(), std::back_inserter(accepted->request.headers),
+                 [](const http_header &header) { return isPassedOn(header.first); });
+    if (*key) {
+        accepted->request.headers.emplace_back("Idempotency-Key", (*key)->text());
+    }
+    accepted->arrivedAt = m_loop.now();
+    accepted->deadline = accepted->arrivedAt + std::chrono::milliseconds{via.deadlineMilliseconds};
+    accepted->done = [this, exchange, requestId, key = *key, callerId = caller.id()](const job_outcome &outcome) {
+        --m_inFlight[callerId];
+        exchange->respond(makeAnswer(outcome, requestId, key));
+    };
+    m_jobs.submit(accepted);
+}
+
+void caller_task::handleJobRequest(const std::shared_ptr<http_exchange> &exchange, const caller_settings &caller, const std::string &requestId)
+{
+    const http_request &request = exchange->request();
+    const auto key = job_key::parse(std::string_view(request.path).substr(jobsPath.size()));
+    if (!key) {
+        exchange->respond(makeRefusal(result_code::invalid_key, key.lastReason().reason, requestId));
+        return;
+    }
+
+    const auto answer = [exchange, requestId, key = *key](const job_outcome &outcome) {
+        exchange->respond(makeAnswer(outcome, requestId, key));
+    };
+    if (request.method == "GET") {
+        m_jobs.query(*key, caller.id(), answer);
+    } else if (request.method == "DELETE") {
+        m_jobs.cancel(*key, caller.id(), answer);
+    } else {
+        exchange->respond(makeRefusal(result_code::method_not_allowed, {}, requestId));
+    }
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/entry/entry_daemon.cpp
@@ -0,0 +1,142 @@
+#include "entry/entry_daemon.h"
+
+#include <random>
+
+namespace parsleyglade {
+
+namespace {
+
+constexpr duration stopCheckInterval = std::chrono::milliseconds{20};
+
+/** Time for the balancer to see that this host is not ready, before connections are refused. */
+constexpr duration balancerNotice = std::chrono::milliseconds{500};
+
+incarnation_id newIncarnation()
+{
+    std::random_device device;
+    constexpr std::uint64_t positive = 0x7fffffffffffffffULL;
+    return incarnation_id{static_cast<std::int64_t>(((std::uint64_t{device()} << 32) | device()) & positive)};
+}
+
+} // namespace
+
+entry_daemon::entry_daemon(event_loop &loop, const entry_settings &settings, log_client &log, host_list_client &hostList)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_peers(loop, m_settings, newIncarnation())
+    , m_claims(loop, m_settings, log, m_peers)
+    , m_configuration(loop, m_settings, log, m_peers)
+    , m_fleet(loop, m_settings, log, hostList, m_peers)
+    , m_endpoints(loop, m_settings.dataCentre)
+    , m_jobs(loop, m_settings, m_peers, m_claims, m_fleet, m_endpoints)
+    , m_callers(loop, m_settings, m_jobs)
+    , m_admin(loop, m_settings, {m_peers, m_claims, m_configuration, m_fleet, m_endpoints, m_jobs, m_callers, [this] {
+                                     return isReady();
+                                 }})
+{
+    connectTasks();
+}
+
+void entry_daemon::connectTasks()
+{
+    m_peers.setHeartbeatSource([this] { return makeHeartbeat(); });
+    m_peers.setRequestHandler(
+        [this](const peer_identity &peer, wire::peer_message &message, const peer_server::reply_function &reply) { serve(peer, message, reply); });
+    m_claims.setLogReachable([this] { return m_configuration.isLogReachable(); });
+    m_configuration.onChange([this] { tablesChanged(); });
+    m_fleet.setObservationSource([this](const std::string &host) { return m_endpoints.observation(host); });
+    m_fleet.onPoolChange([this](const std::string &host) { m_endpoints.notePoolChange(host); });
+    m_fleet.onChange([this] { m_jobs.dispatch().refresh(); });
+    m_jobs.setEndObserver([this](const job &ended, const job_outcome &outcome, duration elapsed) { m_admin.jobEnded(ended, outcome, elapsed); });
+}
+
+outcome<bool> entry_daemon::start()
+{
+    if (const auto peers = m_peers.start(); !peers) {
+        return peers.lastReason();
+    }
+    if (const auto admin = m_admin.start(); !admin) {
+        return admin.lastReason();
+    }
+    if (const auto callers = m_callers.start(); !callers) {
+        return callers.lastReason();
+    }
+
+    m_logger.info("entry host started", {{"entry_host", m_settings.entryHost}, {"data_centre", m_settings.dataCentre}, {"callers", m_settings.callerAddress}});
+    return true;
+}
+
+wire::heartbeat entry_daemon::makeHeartbeat() const
+{
+    wire::heartbeat beat;
+    beat.incarnation = static_cast<std::int64_t>(m_peers.incarnation());
+    beat.configurationRevision = static_cast<std::int64_t>(m_configuration.fold().revision());
+    beat.configurationOffset = static_cast<std::int64_t>(m_configuration.fold().nextOffset());
+    beat.configurationDigest = m_configuration.fold().digest();
+    beat.fleetOffset = static_cast<std::int64_t>(m_fleet.fold().nextOffset());
+    beat.ready = isReady();
+    beat.logReachable = m_configuration.isLogReachable();
+    beat.loads = m_jobs.dispatch().loads();
+    beat.sentMicroseconds = m_loop.now().time_since_epoch().count();
+    return beat;
+}
+
+void entry_daemon::serve(const peer_identity &peer, wire::peer_message &message, const peer_server::reply_function &reply)
+{
+    const bool isServed
+        = m_claims.serve(peer, message, reply) || m_configuration.serve(message, reply) || m_jobs.serve(message, reply) || m_admin.serve(message, reply);
+    if (!isServed) {
+        m_logger.warning("a peer sent a message that nobody serves", {{"entry_host", peer.entryHost}});
+    }
+}
+
+void entry_daemon::tablesChanged()
+{
+    const auto published = m_configuration.current();
+    m_fleet.setTables(published);
+    m_endpoints.setTables(published);
+    m_callers.setTables(published);
+    m_jobs.setTables(published);
+}
+
+bool entry_daemon::isReady() const
+{
+    return !m_isStopping && m_configuration.fold().revision() > 0;
+}
+
+void entry_daemon::stop(std::function<void()> stopped)
+{
+    if (m_isStopping) {
+        return;
+    }
+
+    m_logger.info("stopping", {{"jobs", m_jobs.activeJobs()}});
+    m_isStopping = true;
+    m_stopped = std::move(stopped);
+    m_stopBy = m_loop.now() + m_settings.drainLimit;
+    m_stopCheck = m_loop.after(balancerNotice, [this] {
+        m_callers.stopAccepting();
+        m_jobs.stopAccepting();
+        m_stopCheck = m_loop.every(stopCheckInterval, [this] { finishStop(); });
+    });
+}
+
+void entry_daemon::finishStop()
+{
+    const bool isDone = m_jobs.isIdle() && m_callers.connectionCount() == 0;
+    if (!isDone && m_loop.now() < m_stopBy) {
+        return;
+    }
+
+    m_stopCheck.cancel();
+    if (!isDone) {
+        m_logger.warning("the drain limit ended before all jobs did", {{"jobs", m_jobs.activeJobs()}});
+    }
+    m_claims.resign();
+    m_fleet.retire([this] {
+        m_logger.info("stopped");
+        m_stopped();
+    });
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/entry/fleet_task.cpp
@@ -0,0 +1,304 @@
+#include "entry/fleet_task.h"
+
+#include "entry/rendezvous.h"
+
+namespace parsleyglade {
+
+namespace {
+
+constexpr const char *streamName = "fleet";
+constexpr duration decisionLimit = std::chrono::seconds{5};
+constexpr duration hostListInterval = std::chrono::seconds{1};
+constexpr duration workInterval = std::chrono::milliseconds{250};
+constexpr duration repeatAfter = std::chrono::seconds{2};
+constexpr duration retireLimit = std::chrono::seconds{2};
+
+} // namespace
+
+fleet_tables toFleetTables(const tables &published)
+{
+    fleet_tables made;
+    for (const pool &entry : published.pools().pools()) {
+        made.pools.push_back({entry.name, entry.service, entry.spare, entry.availabilityObjective, static_cast<std::size_t>(entry.minimumHosts),
+                              static_cast<std::size_t>(entry.slotsPerHost)});
+        for (const pool_host &host : entry.hosts) {
+            made.hosts.push_back({host.host, entry.name, entry.region, host.dataCentre, host.rack});
+        }
+    }
+    return made;
+}
+
+fleet_task::fleet_task(event_loop &loop, const entry_settings &settings, log_client &log, host_list_client &hostList, peer_task &peers)
+    : m_loop(loop)
+    , m_log(log)
+    , m_hostList(hostList)
+    , m_peers(peers)
+    , m_region(settings.region)
+    , m_dataCentre(settings.dataCentre)
+    , m_membership(peers.incarnation(), settings.dataCentre)
+    , m_follower(loop, log, streamName,
+                 {[this] { return std::max(m_readFrom, m_fold.nextOffset()); }, [this](const std::vector<log_record> &records) { applyRecords(records); },
+                  [this](log_offset earliest) {
+                      m_readFrom = earliest;
+                      m_fold.skipTo(earliest);
+                  }})
+{
+    m_hostListTimer = m_loop.every(hostListInterval, [this] { fetchHostList(); });
+    m_workTimer = m_loop.every(workInterval, [this] { work(); });
+    fetchHostList();
+}
+
+void fleet_task::onChange(std::function<void()> changed)
+{
+    m_changed = std::move(changed);
+}
+
+void fleet_task::onPoolChange(std::function<void(const std::string &)> changed)
+{
+    m_poolChanged = std::move(changed);
+}
+
+void fleet_task::notePoolChanges()
+{
+    for (const auto &[host, assignment] : m_fold.state().hosts) {
+        std::int64_t &seen = m_epochs[host];
+        if (assignment.epoch != seen && !assignment.isLeaving()) {
+            m_poolChanged(host);
+        }
+        seen = assignment.epoch;
+    }
+}
+
+void fleet_task::setObservationSource(observation_source source)
+{
+    m_observe = std::move(source);
+}
+
+void fleet_task::setTables(const std::shared_ptr<const tables> &published)
+{
+    m_tables = toFleetTables(*published);
+}
+
+const fleet_fold &fleet_task::fold() const
+{
+    return m_fold;
+}
+
+const fleet_tables &fleet_task::publishedHosts() const
+{
+    return m_tables;
+}
+
+const stream_follower &fleet_task::follower() const
+{
+    return m_follower;
+}
+
+listed_state fleet_task::listedState(const std::string &host) const
+{
+    const auto found = m_listed.find(host);
+    return found == m_listed.end() ? listed_state::unlisted : found->second;
+}
+
+std::optional<time_point> fleet_task::hostListAt() const
+{
+    return m_hostListAt;
+}
+
+std::vector<host_membership> fleet_task::memberships() const
+{
+    std::map<std::string, endpoint_observation> observations;
+    for (const fleet_host &host : m_tables.hosts) {
+        observations[host.name] = m_observe(host.name);
+    }
+    return m_membership.evaluate(m_tables, m_fold, observations, m_loop.now());
+}
+
+void fleet_task::applyRecords(const std::vector<log_record> &records)
+{
+    m_hasRead = true;
+    bool isChanged = false;
+    for (const log_record &record : records) {
+        isChanged = m_fold.apply(record.offset, record.payload) == fleet_step::applied || isChanged;
+        m_readFrom = std::max(m_readFrom, record.offset + 1);
+    }
+
+    resolveRecords();
+    if (isChanged) {
+        notePoolChanges();
+        m_changed();
+        work();
+    }
+}
+
+void fleet_task::append(wire::fleet_record record, record_callback done)
+{
+    const std::int64_t id = record.record;
+    waiting_record &waiting = m_waiting[id];
+    waiting.done = std::move(done);
+    const auto fail = [this, id](result_code code, const std::string &reason) {
+        auto node = m_waiting.extract(id);
+        if (!node.empty()) {
+            node.mapped().done(failure{code, reason, {}});
+        }
+    };
+    waiting.limit = m_loop.after(decisionLimit, [fail] { fail(result_code::log_append_unknown, "the log has not shown the record in time"); });
+
+    m_log.append(streamName, encode(record), [fail, alive = std::weak_ptr<bool>(m_alive)](const append_result &result) {
+        if (!alive.expired() && result.status == append_status::refused) {
+            fail(result_code::log_unavailable, result.reason);
+        }
+    });
+}
+
+void fleet_task::resolveRecords()
+{
+    for (auto position = m_waiting.begin(); position != m_waiting.end();) {
+        const auto verdict = m_fold.verdict(position->first);
+        if (!verdict) {
+            ++position;
+            continue;
+        }
+
+        const std::int64_t id = position->first;
+        const auto done = std::move(position->second.done);
+        position = m_waiting.erase(position);
+        if (verdict->isApplied) {
+            done(id);
+        } else {
+            const std::string reason(verdict->reason ? name(*verdict->reason) : "skipped");
+            done(failure{result_code::move_conflict, "the record was not applied: " + reason, {}});
+        }
+    }
+}
+
+fleet_record_builder fleet_task::record()
+{
+    fleet_record_builder builder(static_cast<std::int64_t>(m_peers.incarnation()));
+    builder.stamp(static_cast<std::int64_t>(m_random()), m_loop.wallNow().time_since_epoch().count());
+    return builder;
+}
+
+void fleet_task::fetchHostList()
+{
+    m_hostList.fetch([this, alive = std::weak_ptr<bool>(m_alive)](const outcome<host_list> &list) {
+        if (alive.expired()) {
+            return;
+        }
+        if (!list) {
+            m_logger.debug("could not fetch the host list", {{"reason", list.lastReason().reason}});
+            return;
+        }
+        takeHostList(*list);
+    });
+}
+
+void fleet_task::takeHostList(const host_list &list)
+{
+    std::map<std::string, listed_state> listed;
+    std::vector<std::string> entryAddresses;
+    for (const listed_host &host : list.hosts) {
+        if (host.role == host_role::entry) {
+            entryAddresses.push_back(host.address);
+        } else {
+            listed[host.host] = host.state == host_state::leaving ? listed_state::leaving : listed_state::live;
+        }
+    }
+
+    m_peers.addAddresses(entryAddresses);
+    m_hostListAt = m_loop.now();
+    if (listed != m_listed) {
+        m_listed = std::move(listed);
+        m_changed();
+    }
+}
+
+void fleet_task::work()
+{
+    if (!m_hasRead || m_fold.isAwaitingSnapshot() || !m_follower.isLogReachable()) {
+        return;
+    }
+
+    registerIfNeeded();
+    acknowledgeMoves();
+    completeMoves();
+}
+
+void fleet_task::appendOnce(const std::string &purpose, const wire::fleet_record &record)
+{
+    const auto last = m_lastAppends.find(purpose);
+    if (last != m_lastAppends.end() && m_loop.now() - last->second < repeatAfter) {
+        return;
+    }
+
+    m_lastAppends[purpose] = m_loop.now();
+    append(record, [this, purpose](const outcome<std::int64_t> &result) {
+        if (!result) {
+            m_logger.info("record had no effect", {{"purpose", purpose}, {"reason", result.lastReason().reason}});
+        }
+    });
+}
+
+void fleet_task::registerIfNeeded()
+{
+    if (m_isRetiring || m_fold.mayPlace(m_peers.incarnation())) {
+        return;
+    }
+
+    const auto known = m_fold.state().entries.find(m_peers.self());
+    const std::int64_t number = known == m_fold.state().entries.end() ? 0 : known->second.number;
+    appendOnce("register", record().registered(m_peers.self(), m_dataCentre, m_region, number));
+}
+
+void fleet_task::acknowledgeMoves()
+{
+    for (const fleet_host &host : m_tables.hosts) {
+        const auto found = m_fold.state().hosts.find(host.name);
+        if (found == m_fold.state().hosts.end() || !found->second.isLeaving() || host.dataCentre != m_dataCentre) {
+            continue;
+        }
+
+        const bool isAcknowledged = found->second.acknowledged.contains(static_cast<std::int64_t>(m_peers.incarnation()));
+        if (!isAcknowledged && m_membership.mayAcknowledge(host, m_fold, m_observe(host.name))) {
+            appendOnce("acknowledge " + host.name, record().moveAcknowledged(host.name, found->second.epoch));
+        }
+    }
+}
+
+void fleet_task::completeMoves()
+{
+    for (const fleet_host &host : m_tables.hosts) {
+        if (!m_fold.isDrained(host.name)) {
+            m_drainedSince.erase(host.name);
+            continue;
+        }
+
+        const time_point since = m_drainedSince.emplace(host.name, m_loop.now()).first->second;
+        if (host.dataCentre != m_dataCentre || !membership::mayJoin(host.name, m_fold, m_observe(host.name), since)) {
+            continue;
+        }
+        appendOnce("join " + host.name, record().moveJoined(host.name, m_fold.state().hosts.at(host.name).epoch));
+    }
+}
+
+void fleet_task::retire(std::function<void()> done)
+{
+    m_isRetiring = true;
+    if (!m_follower.isLogReachable() || !m_fold.mayPlace(m_peers.incarnation())) {
+        m_loop.post(std::move(done));
+        return;
+    }
+
+    const auto limit = std::make_shared<timer_subscription>();
+    const auto once = std::make_shared<std::function<void()>>(std::move(done));
+    const auto finish = [once, limit] {
+        limit->cancel();
+        if (auto finished = std::exchange(*once, nullptr)) {
+            finished();
+        }
+    };
+    *limit = m_loop.after(retireLimit, finish);
+    append(record().retired(m_peers.self(), static_cast<std::int64_t>(m_peers.incarnation())), [finish](const outcome<std::int64_t> &) { finish(); });
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/entry/job_task.cpp
@@ -0,0 +1,446 @@
+#include "entry/job_task.h"
+
+#include "core/digest.h"
+
+#include <algorithm>
+#include <random>
+
+namespace parsleyglade {
+
+namespace {
+
+/** Time for the log and the coordinator to decide a claim, unless the job's deadline is nearer. */
+constexpr duration claimLimit = std::chrono::seconds{4};
+constexpr duration claimRetryDelay = std::chrono::milliseconds{100};
+
+/** How long a repeated key waits for the attempt that is running, unless its deadline is nearer. */
+constexpr duration longestJoin = std::chrono::seconds{20};
+
+constexpr duration reportInterval = std::chrono::milliseconds{20};
+constexpr std::size_t reportsAtOnce = 256;
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32) | device();
+}
+
+ledger_settings makeLedgerSettings(incarnation_id incarnation)
+{
+    ledger_settings made;
+    made.incarnation = incarnation;
+    return made;
+}
+
+std::int64_t fingerprintOf(const job &fingerprinted)
+{
+    const http_request &request = fingerprinted.request;
+    const std::string digest = sha256(fingerprinted.via.name + '\n' + request.method + '\n' + request.path + '\n' + request.query + '\n' + request.body);
+    const auto value = static_cast<std::int64_t>(hash64(digest));
+    return value == 0 ? 1 : value;
+}
+
+wire::kept_answer toKept(const http_response &response)
+{
+    wire::kept_answer kept;
+    kept.httpStatus = static_cast<std::int16_t>(response.status);
+    kept.contentType = std::string(findHeader(response.headers, "Content-Type").value_or("application/octet-stream"));
+    kept.body = response.body;
+    return kept;
+}
+
+http_response toResponse(const wire::kept_answer &kept)
+{
+    return {kept.httpStatus, {{"Content-Type", kept.contentType}}, kept.body};
+}
+
+job_outcome outcomeOf(const wire::claim_reply &reply)
+{
+    job_outcome details;
+    details.code = resultCodeFromNumber(reply.code).value_or(result_code::internal_error);
+    details.reason = reply.reason;
+    if (reply.__isset.answer) {
+        details.response = toResponse(reply.answer);
+    } else if (reply.verdict == wire::claim_verdict::completed) {
+        details.code = result_code::answer_not_kept;
+    }
+    return details;
+}
+
+/**
+ * Whether a job that this attempt did not run may have been run by an earlier attempt with the same key.
+ *
+ * Before the log has decided the claim, only the attempt is certain not to have run. A caller reads "not run" as leave to send the
+ * job under a new key, so the answer must hold for the job.
+ */
+bool mayHaveRunBefore(std::optional<attempt_state> before, result_code code)
+{
+    return before == attempt_state::claiming && code != result_code::key_reused && code != result_code::key_in_future;
+}
+
+} // namespace
+
+job_task::job_task(event_loop &loop, const entry_settings &settings, peer_task &peers, claim_task &claims, fleet_task &fleet, endpoint_task &endpoints)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_peers(peers)
+    , m_claims(claims)
+    , m_ledger(makeLedgerSettings(peers.incarnation()), randomSeed())
+    , m_dispatch(loop, settings, peers, fleet, endpoints, *this)
+    , m_reportTimer(loop.every(reportInterval, [this] { sendReports(); }))
+{
+}
+
+dispatch_task &job_task::dispatch()
+{
+    return m_dispatch;
+}
+
+const dispatch_task &job_task::dispatch() const
+{
+    return m_dispatch;
+}
+
+void job_task::setTables(const std::shared_ptr<const tables> &published)
+{
+    m_tables = published;
+    m_dispatch.setTables(published);
+}
+
+void job_task::setEndObserver(end_observer observer)
+{
+    m_observer = std::move(observer);
+}
+
+std::size_t job_task::activeJobs() const
+{
+    return m_jobs.size();
+}
+
+bool job_task::isIdle() const
+{
+    return m_jobs.empty() && m_ledger.size() == 0;
+}
+
+void job_task::submit(const std::shared_ptr<job> &submitted)
+{
+    submitted->id = m_nextId++;
+    active_job &active = m_jobs[submitted->id];
+    active.accepted = submitted;
+    active.answerLimit = m_loop.after(submitted->deadline - m_loop.now(), [this, id = submitted->id] { answerDeadline(id); });
+
+    if (m_isStopping) {
+        giveUp(submitted, result_code::shutting_down);
+        return;
+    }
+
+    if (!m_dispatch.hasEndpoint(submitted->via.pool)) {
+        const int targets = submitted->isForwarded ? 0 : 2;
+        forwardElsewhere(submitted, targets);
+        return;
+    }
+
+    if (submitted->via.idempotent) {
+        offer(submitted);
+    } else {
+        beginClaim(submitted);
+    }
+}
+
+void job_task::beginClaim(const std::shared_ptr<job> &claimed)
+{
+    active_job &active = m_jobs.at(claimed->id);
+    const duration untilDeadline = std::max(claimed->deadline - m_loop.now(), duration::zero());
+    job_to_claim wanted;
+    wanted.identity = {*claimed->key, claimed->callerId};
+    wanted.fingerprint = fingerprintOf(*claimed);
+    wanted.stream = m_claims.streamOf(*claimed->key);
+    wanted.wait = std::chrono::duration_cast<std::chrono::milliseconds>(std::min(longestJoin, untilDeadline * 9 / 10));
+
+    const auto request = m_ledger.begin(wanted);
+    if (!request) {
+        giveUp(claimed, request.lastReason().code, m_dispatch.retryAfter());
+        return;
+    }
+
+    active.claim = *request;
+    active.claimDeadline = m_loop.now() + std::min(claimLimit, untilDeadline);
+    claimed->attempt = attempt_id{request->claim.attempt};
+    m_byAttempt[*claimed->attempt] = claimed->id;
+    askCoordinator(claimed->id);
+}
+
+void job_task::askCoordinator(std::uint64_t id)
+{
+    m_claims.claim(*m_jobs.at(id).claim, [this, id, alive = std::weak_ptr<bool>(m_alive)](const wire::claim_reply &reply) {
+        if (!alive.expired()) {
+            claimAnswered(id, reply);
+        }
+    });
+}
+
+void job_task::claimAnswered(std::uint64_t id, const wire::claim_reply &reply)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end()) {
+        return;
+    }
+
+    active_job &active = found->second;
+    const auto asked = active.accepted;
+    const auto before = m_ledger.stateOf(*asked->attempt);
+    const bool isTransient = reply.verdict == wire::claim_verdict::refused && reply.code == static_cast<int>(result_code::coordinator_unreachable);
+    if (isTransient && m_loop.now() + claimRetryDelay < active.claimDeadline) {
+        const auto repeated = m_ledger.repeatRequest(*asked->attempt);
+        if (!repeated) {
+            return;
+        }
+        active.claim = *repeated;
+        active.claimRetry = m_loop.after(claimRetryDelay, [this, id] { askCoordinator(id); });
+        return;
+    }
+
+    const ledger_decision decision = m_ledger.claimAnswered(*asked->attempt, reply, m_loop.now());
+    job_outcome details = outcomeOf(reply);
+    if (decision.answer == job_answer::not_run && mayHaveRunBefore(before, details.code)) {
+        follow(asked, {job_answer::outcome_unknown, decision.action, decision.code}, details);
+        return;
+    }
+    follow(asked, decision, details);
+}
+
+void job_task::follow(const std::shared_ptr<job> &decided, const ledger_decision &decision, const job_outcome &details)
+{
+    if (decision.action == job_action::send) {
+        offer(decided);
+        return;
+    }
+    if (decision.answer == job_answer::none) {
+        return;
+    }
+
+    job_outcome outcome = details;
+    outcome.answer = decision.answer;
+    if (outcome.code == result_code::ok) {
+        outcome.code = decision.code;
+    }
+    finish(decided, std::move(outcome));
+}
+
+void job_task::offer(const std::shared_ptr<job> &offered)
+{
+    const admission_verdict verdict = m_dispatch.offer(offered);
+    if (!verdict.isAccepted()) {
+        giveUp(offered, verdict.code, verdict.retryAfter);
+    }
+}
+
+void job_task::giveUp(const std::shared_ptr<job> &abandoned, result_code code, duration retryAfter)
+{
+    job_outcome outcome;
+    outcome.answer = job_answer::not_run;
+    outcome.code = code;
+    outcome.retryAfter = retryAfter;
+    if (abandoned->attempt) {
+        const auto before = m_ledger.stateOf(*abandoned->attempt);
+        const ledger_decision decision = m_ledger.abandon(*abandoned->attempt, code, m_loop.now());
+        outcome.answer = decision.answer == job_answer::none ? job_answer::not_run : decision.answer;
+        if (outcome.answer == job_answer::not_run && mayHaveRunBefore(before, code)) {
+            outcome.answer = job_answer::outcome_unknown;
+        }
+    } else if (!abandoned->via.idempotent || abandoned->mayHaveStarted) {
+        outcome.answer = job_answer::outcome_unknown;
+    }
+
+    if (outcome.answer == job_answer::outcome_unknown) {
+        outcome.reason = "whether an earlier try of the job ran is not known here";
+    }
+    finish(abandoned, std::move(outcome));
+}
+
+bool job_task::mayStart(job &starting)
+{
+    return !starting.attempt || m_ledger.startSend(*starting.attempt);
+}
+
+void job_task::expired(const std::shared_ptr<job> &dropped)
+{
+    giveUp(dropped, result_code::deadline_unreachable, m_dispatch.retryAfter());
+}
+
+void job_task::sendEnded(const std::shared_ptr<job> &sent, const call_result &result)
+{
+    if (!sent->attempt) {
+        endIdempotent(sent, result);
+        return;
+    }
+
+    send_outcome ended;
+    job_outcome details;
+    if (result.progress == call_progress::answered) {
+        ended = whole_answer{toKept(result.response)};
+        details.response = result.response;
+    } else if (result.progress == call_progress::broken) {
+        ended = send_lost{result.code};
+        details.code = result.code;
+    } else {
+        ended = send_not_started{result_code::endpoint_refused};
+        details.code = result_code::endpoint_refused;
+    }
+
+    const ledger_decision decision = m_ledger.sendEnded(*sent->attempt, ended, m_loop.now());
+    if (decision.action == job_action::send_again) {
+        sendAgainOrGiveUp(sent, attempt_evidence::certainly_not_started, result_code::endpoint_refused);
+        return;
+    }
+    follow(sent, decision, details);
+}
+
+void job_task::endIdempotent(const std::shared_ptr<job> &sent, const call_result &result)
+{
+    if (result.progress == call_progress::answered) {
+        finish(sent, {job_answer::completed, result_code::ok, {}, {}, result.response});
+        return;
+    }
+
+    const bool mayHaveStarted = result.progress == call_progress::broken;
+    sent->mayHaveStarted = sent->mayHaveStarted || mayHaveStarted;
+    sendAgainOrGiveUp(sent, mayHaveStarted ? attempt_evidence::may_have_started : attempt_evidence::certainly_not_started,
+                      mayHaveStarted ? result.code : result_code::endpoint_refused);
+}
+
+void job_task::sendAgainOrGiveUp(const std::shared_ptr<job> &failed, attempt_evidence evidence, result_code code)
+{
+    const bool isWanted = m_jobs.contains(failed->id) && !m_jobs.at(failed->id).isAnswered && !m_isStopping;
+    if (isWanted && m_loop.now() < failed->deadline && m_dispatch.tryRetry(*failed, evidence)) {
+        offer(failed);
+        return;
+    }
+
+    if (evidence == attempt_evidence::certainly_not_started) {
+        giveUp(failed, code, m_dispatch.retryAfter());
+        return;
+    }
+    finish(failed, {job_answer::outcome_unknown, code, "the endpoint may have run the job", m_dispatch.retryAfter(), {}});
+}
+
+void job_task::answerDeadline(std::uint64_t id)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end()) {
+        return;
+    }
+
+    const auto late = found->second.accepted;
+    if (!late->isSent || !late->attempt) {
+        // An idempotent job's connection ends by the same deadline and answers for itself.
+        if (!late->isSent) {
+            m_dispatch.cancelQueued(*late);
+            giveUp(late, result_code::deadline_unreachable, m_dispatch.retryAfter());
+        }
+        return;
+    }
+
+    const ledger_decision decision = m_ledger.abandon(*late->attempt, result_code::still_running, m_loop.now());
+    if (decision.answer == job_answer::still_running) {
+        // The caller gets its answer now; the job goes on, and its result is kept for a repeated key.
+        answer(found->second, {job_answer::still_running, result_code::still_running, "the job runs past its deadline", {}, {}});
+        return;
+    }
+    follow(late, decision, {});
+}
+
+void job_task::answer(active_job &active, const job_outcome &outcome)
+{
+    if (active.isAnswered) {
+        return;
+    }
+
+    active.isAnswered = true;
+    active.answerLimit.cancel();
+    const auto &accepted = *active.accepted;
+    m_observer(accepted, outcome, m_loop.now() - accepted.arrivedAt);
+    accepted.done(outcome);
+}
+
+void job_task::finish(const std::shared_ptr<job> &ended, job_outcome outcome)
+{
+    auto node = m_jobs.extract(ended->id);
+    if (node.empty()) {
+        return;
+    }
+
+    if (ended->attempt) {
+        m_byAttempt.erase(*ended->attempt);
+    }
+    answer(node.mapped(), outcome);
+}
+
+std::shared_ptr<job> job_task::jobOf(attempt_id attempt) const
+{
+    const auto found = m_byAttempt.find(attempt);
+    return found == m_byAttempt.end() ? nullptr : m_jobs.at(found->second).accepted;
+}
+
+void job_task::query(const job_key &key, caller_id caller, answer_callback done)
+{
+    wire::claim_request request;
+    request.stream = m_claims.streamOf(key);
+    request.claim.key = key.bytes();
+    request.claim.caller = static_cast<std::int64_t>(caller);
+    request.claim.dispatcher = static_cast<std::int64_t>(m_peers.incarnation());
+    request.queryOnly = true;
+    m_claims.claim(request, [done = std::move(done)](const wire::claim_reply &reply) {
+        job_outcome outcome = outcomeOf(reply);
+        switch (reply.verdict) {
+        case wire::claim_verdict::completed:
+            outcome.answer = job_answer::completed;
+            break;
+        case wire::claim_verdict::still_running:
+            outcome.answer = job_answer::still_running;
+            break;
+        case wire::claim_verdict::not_found:
+            outcome.answer = job_answer::not_run;
+            outcome.code = result_code::job_not_found;
+            break;
+        default:
+            outcome.answer = job_answer::outcome_unknown;
+            break;
+        }
+        done(outcome);
+    });
+}
+
+void job_task::stopAccepting()
+{
+    m_isStopping = true;
+    for (const attempt_id attempt : m_ledger.abandonUnsent(m_loop.now())) {
+        if (const auto unsent = jobOf(attempt)) {
+            m_dispatch.cancelQueued(*unsent);
+            finish(unsent, {job_answer::outcome_unknown, result_code::shutting_down, "this request was not sent; send it again with the same key", {}, {}});
+        }
+    }
+
+    std::vector<std::shared_ptr<job>> unsent;
+    for (const auto &[id, active] : m_jobs) {
+        if (!active.accepted->isSent && !active.accepted->attempt && m_dispatch.cancelQueued(*active.accepted)) {
+            unsent.push_back(active.accepted);
+        }
+    }
+    for (const auto &waiting : unsent) {
+        giveUp(waiting, result_code::shutting_down);
+    }
+}
+
+void job_task::sendReports()
+{
+    for (const wire::result_report &report : m_ledger.dueReports(m_loop.now(), reportsAtOnce)) {
+        m_claims.report(report, [this, result = report.result, alive = std::weak_ptr<bool>(m_alive)](bool isRecorded) {
+            if (!alive.expired()) {
+                m_ledger.reportAnswered(result, isRecorded);
+            }
+        });
+    }
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/entry/job_task.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "entry/claim_task.h"
+#include "entry/dispatch_task.h"
+#include "entry/entry_settings.h"
+#include "entry/job.h"
+#include "entry/peer_task.h"
+#include "jobs/jobs.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace parsleyglade {
+
+/** Leads each job from its acceptance to its answer: claim, placement, retries, passing on, cancellation. Owns the ledger of
+    this incarnation's attempts. */
+class job_task : private dispatch_task::listener
+{
+public:
+    using answer_callback = std::function<void(const job_outcome &)>;
+
+    /** Counts jobs as they end, for metrics and reports. */
+    using end_observer = std::function<void(const job &ended, const job_outcome &outcome, duration elapsed)>;
+
+    job_task(event_loop &loop, const entry_settings &settings, peer_task &peers, claim_task &claims, fleet_task &fleet, endpoint_task &endpoints);
+    job_task(const job_task &) = delete;
+    job_task &operator=(const job_task &) = delete;
+    ~job_task() override = default;
+
+    dispatch_task &dispatch();
+    const dispatch_task &dispatch() const;
+    void setTables(const std::shared_ptr<const tables> &published);
+    void setEndObserver(end_observer observer);
+
+    /** Accepts a job. Its done callback runs once. */
+    void submit(const std::shared_ptr<job> &submitted);
+
+    /** Tells the state of a caller's job. */
+    void query(const job_key &key, caller_id caller, answer_callback done);
+
+    /** Cancels a caller's job, wherever it is. */
+    void cancel(const job_key &key, caller_id caller, answer_callback done);
+
+    /** Answers job messages of another entry host. Returns whether the message was one. */
+    bool serve(wire::peer_message &message, const peer_server::reply_function &reply);
+
+    /** Accepts no more jobs and gives up what was not sent. */
+    void stopAccepting();
+
+    /** Whether nothing is in flight and every result has been reported. */
+    bool isIdle() const;
+
+    /** Jobs accepted and not answered yet. */
+    std::size_t activeJobs() const;
+
+private:
+    struct active_job
+    {
+        std::shared_ptr<job> accepted;
+        std::optional<wire::claim_request> claim;
+        time_point claimDeadline{};
+        timer_subscription claimRetry;
+        timer_subscription answerLimit;
+        bool isAnswered = false;
+    };
+
+    // dispatch_task::listener
+    bool mayStart(job &starting) override;
+    void sendEnded(const std::shared_ptr<job> &sent, const call_result &result) override;
+    void expired(const std::shared_ptr<job> &dropped) override;
+
+    void beginClaim(const std::shared_ptr<job> &claimed);
+    void askCoordinator(std::uint64_t id);
+    void claimAnswered(std::uint64_t id, const wire::claim_reply &reply);
+    void offer(const std::shared_ptr<job> &offered);
+    void sendAgainOrGiveUp(const std::shared_ptr<job> &failed, attempt_evidence evidence, result_code code);
+    void endIdempotent(const std::shared_ptr<job> &sent, const call_result &result);
+    void giveUp(const std::shared_ptr<job> &abandoned, result_code code, duration retryAfter = {});
+    void follow(const std::shared_ptr<job> &decided, const ledger_decision &decision, const job_outcome &details);
+    void finish(const std::shared_ptr<job> &ended, job_outcome outcome);
+    void answer(active_job &active, const job_outcome &outcome);
+    void answerDeadline(std::uint64_t id);
+    void forwardElsewhere(const std::shared_ptr<job> &forwarded, int attemptsLeft);
+    std::vector<std::string> peersWithPool(const std::string &pool) const;
+    void serveForward(const wire::forward_request &forward, const peer_server::reply_function &reply);
+    cancel_decision cancelHere(const claim_identity &identity);
+    void askEndpointToStop(const std::vector<attempt_id> &attempts);
+    void sendReports();
+    std::shared_ptr<job> jobOf(attempt_id attempt) const;
+
+    event_loop &m_loop;
+    const entry_settings &m_settings;
+    peer_task &m_peers;
+    claim_task &m_claims;
+    dispatch_ledger m_ledger;
+    dispatch_task m_dispatch;
+    std::shared_ptr<const tables> m_tables = std::make_shared<tables>();
+    std::map<std::uint64_t, active_job> m_jobs;
+    std::map<attempt_id, std::uint64_t> m_byAttempt;
+    end_observer m_observer = [](const job &, const job_outcome &, duration) {
+    };
+    std::uint64_t m_nextId = 1;
+    bool m_isStopping = false;
+    timer_subscription m_reportTimer;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    logger m_logger{"job"};
+};
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/entry/job_task_peers.cpp
@@ -0,0 +1,239 @@
+#include "entry/job_task.h"
+
+#include <algorithm>
+
+namespace parsleyglade {
+
+namespace {
+
+constexpr duration cancelLimit = std::chrono::seconds{2};
+constexpr duration stopRequestLimit = std::chrono::seconds{1};
+
+/** Time that a passed-on job's answer needs on top of its deadline. */
+constexpr duration forwardAllowance = std::chrono::milliseconds{500};
+
+wire::forward_request makeForward(const job &forwarded, time_point now)
+{
+    wire::forward_request made;
+    made.requestId = forwarded.requestId;
+    made.method = forwarded.request.method;
+    made.path = forwarded.request.path;
+    made.query = forwarded.request.query;
+    made.headers.insert(forwarded.request.headers.begin(), forwarded.request.headers.end());
+    made.body = forwarded.request.body;
+    made.caller = forwarded.caller;
+    made.key = forwarded.key ? forwarded.key->bytes() : std::string();
+    made.deadlineMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(forwarded.deadline - now).count();
+    return made;
+}
+
+job_outcome outcomeOf(const wire::forward_reply &reply)
+{
+    job_outcome outcome;
+    outcome.code = resultCodeFromNumber(reply.code).value_or(result_code::internal_error);
+    outcome.reason = reply.reason;
+    if (reply.__isset.answer) {
+        outcome.answer = job_answer::completed;
+        outcome.response = {reply.answer.httpStatus, {{"Content-Type", reply.answer.contentType}}, reply.answer.body};
+    } else if (outcome.code == result_code::answer_not_kept) {
+        outcome.answer = job_answer::completed;
+    } else if (outcome.code == result_code::still_running) {
+        outcome.answer = job_answer::still_running;
+    } else {
+        outcome.answer = reply.started ? job_answer::outcome_unknown : job_answer::not_run;
+    }
+    return outcome;
+}
+
+wire::forward_reply toReply(const job_outcome &outcome)
+{
+    wire::forward_reply reply;
+    reply.started = outcome.answer != job_answer::not_run;
+    reply.code = static_cast<std::int32_t>(outcome.code);
+    reply.reason = outcome.reason;
+    if (outcome.answer == job_answer::completed && outcome.code == result_code::ok) {
+        wire::kept_answer answer;
+        answer.httpStatus = static_cast<std::int16_t>(outcome.response.status);
+        answer.contentType = std::string(findHeader(outcome.response.headers, "Content-Type").value_or("application/octet-stream"));
+        answer.body = outcome.response.body;
+        reply.__set_answer(answer);
+    }
+    return reply;
+}
+
+} // namespace
+
+std::vector<std::string> job_task::peersWithPool(const std::string &pool) const
+{
+    const auto *published = m_tables->pools().findPool(pool);
+    std::vector<std::string> names;
+    for (const peer_state &peer : m_peers.livePeers()) {
+        const bool isElsewhere = peer.identity.dataCentre != m_settings.dataCentre && peer.beat.ready;
+        const bool hasHosts = published != nullptr && std::any_of(published->hosts.begin(), published->hosts.end(), [&](const pool_host &host) {
+                                  return host.dataCentre == peer.identity.dataCentre;
+                              });
+        if (isElsewhere && hasHosts) {
+            names.push_back(peer.identity.entryHost);
+        }
+    }
+    return names;
+}
+
+void job_task::forwardElsewhere(const std::shared_ptr<job> &forwarded, int attemptsLeft)
+{
+    const std::vector<std::string> names = attemptsLeft > 0 ? peersWithPool(forwarded->via.pool) : std::vector<std::string>();
+    if (names.empty()) {
+        giveUp(forwarded, result_code::no_endpoint, m_dispatch.retryAfter());
+        return;
+    }
+
+    // Requests are spread over the peers by their number, so that one data centre does not take them all.
+    const std::string &target = names[forwarded->id % names.size()];
+    forwarded->isSent = true;
+    wire::peer_message message;
+    message.__set_forward(makeForward(*forwarded, m_loop.now()));
+    m_peers.request(target, std::move(message), forwarded->deadline - m_loop.now() + forwardAllowance,
+                    [this, forwarded, attemptsLeft, alive = std::weak_ptr<bool>(m_alive)](const outcome<wire::peer_message> &reply) {
+                        if (alive.expired()) {
+                            return;
+                        }
+                        if (reply && reply->__isset.forwardReply) {
+                            finish(forwarded, outcomeOf(reply->forwardReply));
+                            return;
+                        }
+
+                        forwarded->mayHaveStarted = true;
+                        const bool mayTryAgain = forwarded->via.idempotent && m_loop.now() < forwarded->deadline;
+                        if (mayTryAgain && attemptsLeft > 1) {
+                            forwardElsewhere(forwarded, attemptsLeft - 1);
+                            return;
+                        }
+                        finish(forwarded,
+                               {job_answer::outcome_unknown,
+                                result_code::connection_lost,
+                                "the entry host that the job was passed to did not answer",
+                                m_dispatch.retryAfter(),
+                                {}});
+                    });
+}
+
+void job_task::serveForward(const wire::forward_request &forward, const peer_server::reply_function &reply)
+{
+    const auto answer = [reply](const job_outcome &outcome) {
+        wire::peer_message made;
+        made.__set_forwardReply(toReply(outcome));
+        reply(made);
+    };
+
+    const route *via = m_tables->findRoute(forward.method, forward.path);
+    const auto known = std::find_if(m_settings.callers.begin(), m_settings.callers.end(),
+                                    [&](const caller_settings &candidate) { return candidate.name == forward.caller; });
+    const auto key = job_key::fromBytes(forward.key);
+    if (via == nullptr || known == m_settings.callers.end() || (!via->idempotent && !key)) {
+        answer({job_answer::outcome_unknown, result_code::unknown_route, "the other entry host does not know the route or the caller", {}, {}});
+        return;
+    }
+
+    const auto passed = std::make_shared<job>();
+    passed->via = *via;
+    passed->caller = known->name;
+    passed->callerId = known->id();
+    passed->share = known->share;
+    if (key) {
+        passed->key = *key;
+    }
+    passed->requestId = forward.requestId;
+    passed->request = {forward.method, forward.path, forward.query, {forward.headers.begin(), forward.headers.end()}, forward.body};
+    passed->arrivedAt = m_loop.now();
+    passed->deadline = m_loop.now() + std::chrono::milliseconds{std::clamp<std::int64_t>(forward.deadlineMilliseconds, 0, via->deadlineMilliseconds)};
+    passed->isForwarded = true;
+    passed->done = answer;
+    submit(passed);
+}
+
+bool job_task::serve(wire::peer_message &message, const peer_server::reply_function &reply)
+{
+    if (message.__isset.forward) {
+        serveForward(message.forward, reply);
+        return true;
+    }
+
+    if (message.__isset.cancel) {
+        wire::cancel_reply made;
+        const auto key = job_key::fromBytes(message.cancel.key);
+        made.stopped = key && cancelHere({*key, caller_id{message.cancel.caller}}).isStopped;
+        wire::peer_message answer;
+        answer.__set_cancelReply(made);
+        reply(answer);
+        return true;
+    }
+
+    return false;
+}
+
+cancel_decision job_task::cancelHere(const claim_identity &identity)
+{
+    const cancel_decision decision = m_ledger.cancel(identity, m_loop.now());
+    for (const attempt_id attempt : decision.ended) {
+        if (const auto ended = jobOf(attempt)) {
+            m_dispatch.cancelQueued(*ended);
+            finish(ended, {decision.isStopped ? job_answer::not_run : job_answer::still_running, result_code::cancelled, "cancelled by its caller", {}, {}});
+        }
+    }
+    askEndpointToStop(decision.running);
+    return decision;
+}
+
+void job_task::askEndpointToStop(const std::vector<attempt_id> &attempts)
+{
+    for (const attempt_id attempt : attempts) {
+        const auto running = jobOf(attempt);
+        if (running && running->via.cancellable) {
+            m_dispatch.askToStop(*running, stopRequestLimit);
+        }
+    }
+}
+
+void job_task::cancel(const job_key &key, caller_id caller, answer_callback done)
+{
+    const cancel_decision here = cancelHere({key, caller});
+    if (here.isKnown && here.running.empty() && here.isStopped) {
+        // Another entry host may hold the claim, so the log has the last word.
+        query(key, caller, [done = std::move(done)](job_outcome outcome) {
+            if (outcome.answer == job_answer::not_run) {
+                outcome.code = result_code::cancelled;
+            }
+            done(outcome);
+        });
+        return;
+    }
+
+    wire::claim_request request;
+    request.stream = m_claims.streamOf(key);
+    request.claim.key = key.bytes();
+    request.claim.caller = static_cast<std::int64_t>(caller);
+    request.claim.dispatcher = static_cast<std::int64_t>(m_peers.incarnation());
+    request.queryOnly = true;
+    m_claims.claim(request, [this, key, caller, done = std::move(done)](const wire::claim_reply &reply) {
+        const std::string dispatcher = m_peers.nameOf(incarnation_id{reply.dispatcher});
+        if (reply.verdict != wire::claim_verdict::still_running || dispatcher.empty()) {
+            query(key, caller, done);
+            return;
+        }
+
+        wire::cancel_request wanted;
+        wanted.key = key.bytes();
+        wanted.caller = static_cast<std::int64_t>(caller);
+        wire::peer_message message;
+        message.__set_cancel(wanted);
+        m_peers.request(dispatcher, std::move(message), cancelLimit, [this, key, caller, done](const outcome<wire::peer_message> &answer) {
+            if (answer && answer->__isset.cancelReply && answer->cancelReply.stopped) {
+                done({job_answer::not_run, result_code::cancelled, "cancelled before it was sent", {}, {}});
+                return;
+            }
+            query(key, caller, done);
+        });
+    });
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/entry/rendezvous.cpp
@@ -0,0 +1,21 @@
+#include "entry/rendezvous.h"
+
+#include "core/digest.h"
+
+#include <utility>
+
+namespace parsleyglade {
+
+std::string selectByRendezvous(std::string_view subject, const std::vector<std::string> &candidates)
+{
+    std::pair<std::uint64_t, std::string> best;
+    for (const std::string &candidate : candidates) {
+        const std::pair<std::uint64_t, std::string> weighed{hash64(candidate, hash64(subject)), candidate};
+        if (best.second.empty() || weighed > best) {
+            best = weighed;
+        }
+    }
+    return best.second;
+}
+
+} // namespace parsleyglade
