Add tools/measure-policy

Change: the tool drives the decision code in virtual time against fake endpoints: both deployments and the two-year size, bursts in turn, long jobs, wrong declared times, endpoints that die, leave or fail everything, and entry hosts that see each other's counts late. Baselines: one FIFO queue with round robin, and with least connections. Spare capacity policies can be added behind host_move_planner. drain_rate no longer learns from the first job of a lane, which left without waiting.

--- a/src/placement/drain_rate.cpp
+++ b/src/placement/drain_rate.cpp
@@ -14,10 +14,18 @@
 void drain_rate::started(time_point now)
 {
     m_since = now;
+    m_isFirst = true;
 }
 
 void drain_rate::taken(time_point now)
 {
+    // The first job did not leave behind another one, so its wait says nothing about the time between jobs.
+    if (m_isFirst) {
+        m_isFirst = false;
+        m_since = now;
+        return;
+    }
+
     const double interval = std::max(toSeconds(now - m_since), 0.0);
     m_meanSeconds = m_meanSeconds ? *m_meanSeconds + m_gain * (interval - *m_meanSeconds) : interval;
     m_since = now;
--- a/src/placement/drain_rate.h
+++ b/src/placement/drain_rate.h
@@ -23,6 +23,7 @@
 
 private:
     double m_gain;
+    bool m_isFirst = true;
     time_point m_since{}; /**< Time of the last job that left, or of the first that arrived. */
     std::optional<double> m_meanSeconds;
 };
--- /dev/null
+++ b/tools/measure-policy/cluster_model.cpp
@@ -0,0 +1,332 @@
+#include "cluster_model.h"
+
+#include "workload.h"
+
+#include <algorithm>
+
+namespace parsleyglade {
+
+namespace {
+
+constexpr duration loadInterval = std::chrono::milliseconds{100};
+constexpr duration probeInterval = std::chrono::milliseconds{500};
+constexpr duration moveInterval = std::chrono::seconds{1};
+constexpr duration refusalTime = std::chrono::milliseconds{1};
+constexpr duration fastFailureTime = std::chrono::milliseconds{5};
+constexpr duration lostAnswerTime = std::chrono::seconds{1};
+
+} // namespace
+
+cluster_model::cluster_model(const deployment &model, const workload_settings &settings, const policy_choice &choice, host_move_planner &planner,
+                             std::uint64_t seed)
+    : m_deployment(model)
+    , m_settings(settings)
+    , m_choice(choice)
+    , m_planner(planner)
+    , m_random(seed + 1)
+    , m_faultRandom(seed + 2)
+    , m_jobs(makeWorkload(model, settings, seed))
+    , m_arrivals(model.pools.size(), 0)
+    , m_open(m_jobs.size())
+{
+    makeEndpoints();
+    makeEntryHosts();
+    scheduleTicks();
+}
+
+run_result cluster_model::run()
+{
+    while (m_open > 0 && !m_events.isEmpty()) {
+        const model_event event = m_events.pop();
+        m_now = event.time;
+        handle(event);
+    }
+
+    m_result.unfinished = m_open;
+    return std::move(m_result);
+}
+
+void cluster_model::makeEndpoints()
+{
+    for (std::uint32_t pool = 0; pool < m_deployment.pools.size(); ++pool) {
+        const auto &counts = m_deployment.pools[pool].endpointsByDataCentre;
+        for (std::uint32_t dataCentre = 0; dataCentre < counts.size(); ++dataCentre) {
+            for (std::size_t left = counts[dataCentre]; left > 0; --left) {
+                fake_endpoint endpoint;
+                endpoint.pool = pool;
+                endpoint.dataCentre = dataCentre;
+                endpoint.slots = m_choice.limits.slots;
+                m_endpoints.push_back(endpoint);
+            }
+        }
+    }
+}
+
+void cluster_model::makeEntryHosts()
+{
+    for (std::uint32_t dataCentre = 0; dataCentre < m_deployment.entryHostsByDataCentre.size(); ++dataCentre) {
+        const auto first = static_cast<std::uint32_t>(m_hosts.size());
+        const auto count = static_cast<std::uint32_t>(m_deployment.entryHostsByDataCentre[dataCentre]);
+        for (std::uint32_t index = 0; index < count; ++index) {
+            entry_host host;
+            host.dataCentre = dataCentre;
+            for (std::uint32_t peer = first; peer < first + count; ++peer) {
+                if (peer != first + index) {
+                    host.peers.push_back(peer);
+                }
+            }
+            host.lastDelivery.resize(host.peers.size());
+            host.delay.resize(host.peers.size(), m_settings.leastViewDelay);
+            makeEntryPools(host);
+            m_hosts.push_back(std::move(host));
+        }
+    }
+}
+
+void cluster_model::makeEntryPools(entry_host &host)
+{
+    host.pools.resize(m_deployment.pools.size());
+    for (std::uint32_t pool = 0; pool < m_deployment.pools.size(); ++pool) {
+        // Every entry host of a group's data centres may receive an endpoint of any pool by a move, so only far pools are left out.
+        const bool isFar = m_deployment.pools.size() > m_deployment.burstGroup && m_deployment.pools[pool].endpointsByDataCentre[host.dataCentre] == 0;
+        if (isFar) {
+            continue;
+        }
+        host.pools[pool] = std::make_unique<entry_pool>(m_choice, m_random());
+        for (std::uint32_t index = 0; index < m_endpoints.size(); ++index) {
+            if (m_endpoints[index].pool == pool) {
+                host.pools[pool]->addEndpoint(index, m_endpoints[index].dataCentre == host.dataCentre, m_now);
+            }
+        }
+    }
+}
+
+void cluster_model::scheduleTicks()
+{
+    if (!m_jobs.empty()) {
+        m_events.add(m_jobs.front().arrivedAt, event_kind::arrival, 0);
+    }
+    for (std::uint32_t host = 0; host < m_hosts.size(); ++host) {
+        m_events.add(time_point{duration{m_random() % static_cast<std::uint64_t>(loadInterval.count())}}, event_kind::load_tick, host);
+        m_events.add(time_point{duration{m_random() % static_cast<std::uint64_t>(probeInterval.count())}}, event_kind::probe_tick, host);
+    }
+    if (m_settings.faultInterval > duration::zero()) {
+        m_events.add(time_point{m_settings.faultInterval / 2}, event_kind::fault_started);
+    }
+    m_events.add(time_point{moveInterval}, event_kind::move_tick);
+}
+
+void cluster_model::handle(const model_event &event)
+{
+    switch (event.kind) {
+    case event_kind::arrival:
+        return arrive(event.subject);
+    case event_kind::job_finished:
+        return finish(event);
+    case event_kind::job_failed:
+        return fail(event.subject);
+    case event_kind::job_refused:
+        return refuse(event.subject);
+    case event_kind::load_tick:
+        return sendLoads(event.subject);
+    case event_kind::load_arrived:
+        return receiveLoads(event.subject);
+    case event_kind::probe_tick:
+        return probe(event.subject);
+    case event_kind::fault_started:
+        return startFault();
+    case event_kind::fault_ended:
+        return endFault(event.subject);
+    case event_kind::move_tick:
+        return planMoves();
+    case event_kind::move_joined:
+        return join(event.subject);
+    }
+}
+
+std::optional<std::uint32_t> cluster_model::hostFor(std::uint32_t pool, std::optional<std::uint32_t> exceptDataCentre)
+{
+    std::vector<std::uint32_t> dataCentres;
+    for (std::uint32_t dataCentre = 0; dataCentre < m_deployment.entryHostsByDataCentre.size(); ++dataCentre) {
+        if (m_deployment.pools[pool].endpointsByDataCentre[dataCentre] > 0 && exceptDataCentre != dataCentre) {
+            dataCentres.push_back(dataCentre);
+        }
+    }
+    if (dataCentres.empty()) {
+        return std::nullopt;
+    }
+
+    const std::uint32_t dataCentre = dataCentres[m_random() % dataCentres.size()];
+    std::vector<std::uint32_t> hosts;
+    for (std::uint32_t host = 0; host < m_hosts.size(); ++host) {
+        if (m_hosts[host].dataCentre == dataCentre) {
+            hosts.push_back(host);
+        }
+    }
+
+    return hosts[m_random() % hosts.size()];
+}
+
+void cluster_model::arrive(std::uint32_t job)
+{
+    model_job &arriving = m_jobs[job];
+    if (arriving.isForwarded) {
+        return admit(job);
+    }
+
+    if (job + 1 < m_jobs.size()) {
+        m_events.add(m_jobs[job + 1].arrivedAt, event_kind::arrival, job + 1);
+    }
+    (arriving.isLong ? m_result.offeredLong : m_result.offeredShort) += 1;
+    m_result.offeredQuiet += !arriving.isLong && arriving.isInBurst && !arriving.isFromStorm ? 1 : 0;
+    m_arrivals[arriving.pool] += 1;
+    arriving.entryHost = *hostFor(arriving.pool, std::nullopt);
+
+    const entry_host &host = m_hosts[arriving.entryHost];
+    if (!host.pools[arriving.pool]->takesWork(m_now)) {
+        if (const auto other = hostFor(arriving.pool, host.dataCentre)) {
+            arriving.entryHost = *other;
+            arriving.isForwarded = true;
+            m_events.add(m_now + m_deployment.dataCentreLatency, event_kind::arrival, job);
+            return;
+        }
+    }
+    admit(job);
+}
+
+void cluster_model::admit(std::uint32_t job)
+{
+    const model_job &admitted = m_jobs[job];
+    const result_code code = m_hosts[admitted.entryHost].pools[admitted.pool]->offer(job, admitted, m_now);
+    if (code != result_code::ok) {
+        m_result.refusals[code] += 1;
+        m_open -= 1;
+        return;
+    }
+
+    m_hosts[admitted.entryHost].pools[admitted.pool]->countFirstAttempt();
+    dispatch(admitted.entryHost, admitted.pool);
+}
+
+void cluster_model::dispatch(std::uint32_t host, std::uint32_t pool)
+{
+    entry_pool &decisions = *m_hosts[host].pools[pool];
+    while (decisions.queued() > 0) {
+        const auto decision = decisions.next(m_now);
+        if (!decision) {
+            return;
+        }
+        deliver(decision->job, decision->endpoint);
+    }
+}
+
+void cluster_model::deliver(std::uint32_t job, std::uint32_t endpoint)
+{
+    fake_endpoint &target = m_endpoints[endpoint];
+    m_result.sent += 1;
+    switch (target.fault) {
+    case endpoint_fault::dead:
+        return m_events.add(m_now + lostAnswerTime, event_kind::job_failed, job, endpoint);
+    case endpoint_fault::leaving:
+        return m_events.add(m_now + refusalTime, event_kind::job_refused, job, endpoint);
+    case endpoint_fault::fails_everything:
+        return m_events.add(m_now + fastFailureTime, event_kind::job_failed, job, endpoint);
+    case endpoint_fault::none:
+        break;
+    }
+
+    if (target.running.size() >= target.slots) {
+        target.backlog.push_back(job);
+        m_result.sentToFullEndpoint += 1;
+        return;
+    }
+    start(job, endpoint);
+}
+
+void cluster_model::start(std::uint32_t job, std::uint32_t endpoint)
+{
+    fake_endpoint &target = m_endpoints[endpoint];
+    target.running.push_back(job);
+    m_jobs[job].startedAt = m_now;
+    m_events.add(m_now + m_jobs[job].runTime, event_kind::job_finished, job, endpoint, target.generation);
+}
+
+void cluster_model::finish(const model_event &event)
+{
+    fake_endpoint &endpoint = m_endpoints[event.detail];
+    if (event.generation != endpoint.generation) {
+        return;
+    }
+
+    std::erase(endpoint.running, event.subject);
+    if (!endpoint.backlog.empty()) {
+        const std::uint32_t next = endpoint.backlog.front();
+        endpoint.backlog.pop_front();
+        start(next, event.detail);
+    }
+
+    const model_job &job = m_jobs[event.subject];
+    m_hosts[job.entryHost].pools[job.pool]->answered(event.subject, true, m_now);
+    recordCompletion(job);
+    m_open -= 1;
+    joinIfDrained(event.detail);
+    dispatch(job.entryHost, job.pool);
+}
+
+void cluster_model::fail(std::uint32_t job)
+{
+    const model_job &failed = m_jobs[job];
+    m_hosts[failed.entryHost].pools[failed.pool]->answered(job, false, m_now);
+    retryOrEnd(job, attempt_evidence::may_have_started);
+}
+
+void cluster_model::refuse(std::uint32_t job)
+{
+    const model_job &refused = m_jobs[job];
+    m_hosts[refused.entryHost].pools[refused.pool]->refused(job);
+    retryOrEnd(job, attempt_evidence::certainly_not_started);
+}
+
+void cluster_model::retryOrEnd(std::uint32_t job, attempt_evidence evidence)
+{
+    const model_job &ended = m_jobs[job];
+    entry_pool &decisions = *m_hosts[ended.entryHost].pools[ended.pool];
+    if (decisions.tryRetry(ended.isIdempotent, evidence) && decisions.offer(job, ended, m_now) == result_code::ok) {
+        m_result.retried += 1;
+    } else {
+        m_result.failed += 1;
+        m_open -= 1;
+    }
+    dispatch(ended.entryHost, ended.pool);
+}
+
+void cluster_model::expireQueue(std::uint32_t host, std::uint32_t pool)
+{
+    const std::size_t expired = m_hosts[host].pools[pool]->expire(m_now).size();
+    m_result.expired += expired;
+    m_open -= expired;
+}
+
+void cluster_model::recordCompletion(const model_job &job)
+{
+    const double wait = toSeconds(job.startedAt - job.arrivedAt);
+    if (job.isLong) {
+        m_result.longWaits.push_back(wait);
+        m_result.startedLong += 1;
+        return;
+    }
+
+    m_result.startedShort += 1;
+    m_result.shortWaits.push_back(wait);
+    if (job.urgency == urgency_class::urgent) {
+        m_result.urgentWaits.push_back(wait);
+    }
+    if (!job.isInBurst) {
+        return;
+    }
+    m_result.burstWaits.push_back(wait);
+    (job.isFromStorm ? m_result.stormCallerWaits : m_result.quietCallerWaits).push_back(wait);
+    m_result.startedQuiet += job.isFromStorm ? 0 : 1;
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/tools/measure-policy/cluster_model.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "deployment.h"
+#include "entry_pool.h"
+#include "event_queue.h"
+#include "fake_endpoint.h"
+#include "host_move_planner.h"
+#include "run_result.h"
+#include "workload_settings.h"
+
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace parsleyglade {
+
+/** Runs one workload through entry hosts that hold the real decision code, against fake endpoints, in virtual time. */
+class cluster_model
+{
+public:
+    cluster_model(const deployment &model, const workload_settings &settings, const policy_choice &choice, host_move_planner &planner, std::uint64_t seed);
+    cluster_model(const cluster_model &) = delete;
+    cluster_model &operator=(const cluster_model &) = delete;
+
+    /** Runs until every job has ended. */
+    run_result run();
+
+private:
+    struct entry_host
+    {
+        std::uint32_t dataCentre = 0;
+        std::vector<std::unique_ptr<entry_pool>> pools; /**< By pool; null where the data centre has no endpoint of it. */
+        std::vector<std::uint32_t> peers;
+        std::vector<time_point> lastDelivery; /**< By peer: reports arrive in the order they were sent. */
+        std::vector<duration> delay; /**< By peer: current age of a report on arrival. */
+    };
+
+    struct load_message
+    {
+        std::uint32_t from = 0;
+        std::uint32_t to = 0;
+        std::vector<load_report> loads;
+    };
+
+    void makeEndpoints();
+    void makeEntryHosts();
+    void makeEntryPools(entry_host &host);
+    void scheduleTicks();
+    void handle(const model_event &event);
+    std::optional<std::uint32_t> hostFor(std::uint32_t pool, std::optional<std::uint32_t> exceptDataCentre);
+
+    void arrive(std::uint32_t job);
+    void admit(std::uint32_t job);
+    void dispatch(std::uint32_t host, std::uint32_t pool);
+    void deliver(std::uint32_t job, std::uint32_t endpoint);
+    void start(std::uint32_t job, std::uint32_t endpoint);
+    void finish(const model_event &event);
+    void fail(std::uint32_t job);
+    void refuse(std::uint32_t job);
+    void retryOrEnd(std::uint32_t job, attempt_evidence evidence);
+    void expireQueue(std::uint32_t host, std::uint32_t pool);
+    void recordCompletion(const model_job &job);
+
+    void sendLoads(std::uint32_t host);
+    void receiveLoads(std::uint32_t message);
+    void probe(std::uint32_t host);
+    void startFault();
+    void endFault(std::uint32_t endpoint);
+    void loseJobs(fake_endpoint &endpoint);
+
+    std::vector<pool_observation> observePools();
+    void planMoves();
+    void beginMove(const host_move &move);
+    void joinIfDrained(std::uint32_t endpoint);
+    void join(std::uint32_t endpoint);
+    void setMembership(std::uint32_t endpoint, std::uint32_t pool, bool isMember);
+
+    const deployment &m_deployment;
+    const workload_settings &m_settings;
+    const policy_choice &m_choice;
+    host_move_planner &m_planner;
+    std::mt19937_64 m_random;
+    std::mt19937_64 m_faultRandom; /**< Separate, so every policy meets the same faults. */
+    std::vector<model_job> m_jobs;
+    std::vector<fake_endpoint> m_endpoints;
+    std::vector<entry_host> m_hosts;
+    std::vector<load_message> m_messages;
+    std::vector<std::uint32_t> m_freeMessages;
+    std::vector<std::size_t> m_arrivals; /**< By pool, since the planner's last call. */
+    event_queue m_events;
+    time_point m_now{};
+    std::size_t m_open = 0; /**< Jobs that have not ended. */
+    run_result m_result;
+};
+
+} // namespace parsleyglade
--- /dev/null
+++ b/tools/measure-policy/fifo_line.cpp
@@ -0,0 +1,36 @@
+#include "fifo_line.h"
+
+#include <algorithm>
+
+namespace parsleyglade {
+
+result_code fifo_line::offer(const queued_job &job)
+{
+    if (m_jobs.size() >= m_maximumJobs) {
+        return result_code::queue_full;
+    }
+
+    m_jobs.push_back(job);
+    return result_code::ok;
+}
+
+std::optional<queued_job> fifo_line::take()
+{
+    if (m_jobs.empty()) {
+        return std::nullopt;
+    }
+
+    const queued_job job = m_jobs.front();
+    m_jobs.pop_front();
+    return job;
+}
+
+std::vector<queued_job> fifo_line::expire(time_point now)
+{
+    std::vector<queued_job> expired;
+    std::copy_if(m_jobs.begin(), m_jobs.end(), std::back_inserter(expired), [now](const queued_job &job) { return job.deadline < now; });
+    std::erase_if(m_jobs, [now](const queued_job &job) { return job.deadline < now; });
+    return expired;
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/tools/measure-policy/main.cpp
@@ -0,0 +1,96 @@
+#include "measurement.h"
+#include "report.h"
+
+#include <CLI/CLI.hpp>
+#include <iostream>
+
+using namespace parsleyglade;
+
+namespace {
+
+struct options
+{
+    measurement_plan plan;
+    std::vector<std::string> deployments{"hung-phat", "austral-pistas"};
+    std::vector<std::string> policies;
+    double seconds = 300.0;
+    double leastViewDelay = 0.1;
+    double greatestViewDelay = 2.0;
+    std::size_t entryHosts = 0;
+    bool json = false;
+    bool csv = false;
+    bool noTimings = false;
+};
+
+duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
+void addOptions(CLI::App &app, options &chosen)
+{
+    app.add_option("--deployment", chosen.deployments, "deployments to model")->check(CLI::IsMember({"hung-phat", "austral-pistas", "two-year-size"}));
+    app.add_option("--policy", chosen.policies, "policies to measure; all when not given");
+    app.add_option("--first-seed", chosen.plan.firstSeed, "first seed");
+    app.add_option("--seeds", chosen.plan.seeds, "number of seeds")->check(CLI::Range(1, 1000));
+    app.add_option("--seconds", chosen.seconds, "virtual time during which jobs arrive")->check(CLI::Range(1.0, 86400.0));
+    app.add_option("--threads", chosen.plan.threads, "runs at the same time")->check(CLI::Range(1, 64));
+    app.add_option("--short-load", chosen.plan.settings.shortLoad, "mean work of short jobs as a share of the slots")->check(CLI::Range(0.001, 10.0));
+    app.add_option("--long-share", chosen.plan.settings.longShare, "share of the jobs that are long")->check(CLI::Range(0.0, 0.5));
+    app.add_option("--least-view-delay", chosen.leastViewDelay, "least age in seconds of another entry host's counts")->check(CLI::Range(0.0, 60.0));
+    app.add_option("--greatest-view-delay", chosen.greatestViewDelay, "greatest age in seconds of another entry host's counts")->check(CLI::Range(0.0, 60.0));
+    app.add_option("--entry-hosts", chosen.entryHosts, "entry hosts in each data centre; the deployment's own when 0")->check(CLI::Range(0, 20));
+    app.add_flag("--json", chosen.json, "write JSON");
+    app.add_flag("--csv", chosen.csv, "write CSV");
+    app.add_flag("--no-timings", chosen.noTimings, "leave out the decision times, which are real time and vary between runs");
+}
+
+void completePlan(options &chosen)
+{
+    measurement_plan &plan = chosen.plan;
+    plan.settings.length = fromSeconds(chosen.seconds);
+    plan.settings.leastViewDelay = fromSeconds(chosen.leastViewDelay);
+    plan.settings.greatestViewDelay = fromSeconds(chosen.greatestViewDelay);
+    for (deployment model : {hungPhat(), australPistas(), twoYearSize()}) {
+        if (std::find(chosen.deployments.begin(), chosen.deployments.end(), model.name) == chosen.deployments.end()) {
+            continue;
+        }
+        if (chosen.entryHosts > 0) {
+            model.entryHostsByDataCentre.assign(model.entryHostsByDataCentre.size(), chosen.entryHosts);
+        }
+        plan.deployments.push_back(std::move(model));
+    }
+    for (policy_choice &choice : policyChoices()) {
+        const bool isChosen = std::find(chosen.policies.begin(), chosen.policies.end(), choice.name) != chosen.policies.end();
+        if (chosen.policies.empty() || isChosen) {
+            plan.policies.push_back(std::move(choice));
+        }
+    }
+}
+
+} // namespace
+
+/** Measures the placement and admission decisions against baselines in virtual time. */
+int main(int argc, char *argv[])
+{
+    CLI::App app{"Measures the placement and admission decisions against baselines in virtual time."};
+    options chosen;
+    addOptions(app, chosen);
+    CLI11_PARSE(app, argc, argv);
+    completePlan(chosen);
+
+    report results{chosen.plan, measure(chosen.plan), {}};
+    if (!chosen.noTimings) {
+        results.timings = timeDecisions(chosen.plan.firstSeed);
+    }
+
+    if (chosen.json) {
+        writeJson(results, std::cout);
+    } else if (chosen.csv) {
+        writeCsv(results, std::cout);
+    } else {
+        writeText(results, std::cout);
+    }
+
+    return 0;
+}
