--- a/src/placement/endpoint_view.cpp
+++ b/src/placement/endpoint_view.cpp
@@ -92,11 +92,17 @@
 bool endpoint_view::hasSlot(job_class jobClass, time_point now) const
 {
     const auto [shortLoad, longLoad] = load(now);
-    if (shortLoad + longLoad + 1.0 > static_cast<double>(m_limits.slots)) {
+    const bool isWithinShare = ownInFlight() + 1 <= shareOf(m_limits.slots);
+    if (!isWithinShare && shortLoad + longLoad + 1.0 > static_cast<double>(m_limits.slots)) {
         return false;
     }
+    if (jobClass == job_class::short_job) {
+        return true;
+    }
 
-    return jobClass == job_class::short_job || longLoad + 1.0 <= static_cast<double>(longSlots());
+    const std::uint32_t ownShare = shareOf(longSlots());
+    const bool isWithinLongShare = ownShare == 0 || m_own[longIndex] + 1 <= ownShare;
+    return isWithinLongShare && longLoad + 1.0 <= static_cast<double>(longSlots());
 }
 
 std::array<double, jobClassCount> endpoint_view::load(time_point now) const
@@ -117,4 +123,9 @@
     return m_limits.longJobSlotShare > 0.0 ? std::max<std::uint32_t>(slots, 1) : 0;
 }
 
+std::uint32_t endpoint_view::shareOf(std::uint32_t slots) const
+{
+    return slots / static_cast<std::uint32_t>(m_peers.size() + 1);
+}
+
 } // namespace parsleyglade
--- a/src/placement/endpoint_view.h
+++ b/src/placement/endpoint_view.h
@@ -79,7 +79,13 @@
     /** Whether new work may be sent, slots left aside: membership, probes, ejection, probation and connections allow it. */
     bool acceptsWork(time_point now) const;
 
-    /** Whether a slot is free for a job of the class, by own counts and the aged counts of the others. */
+    /**
+     * Whether this entry host may use a slot for a job of the class.
+     *
+     * It may always use its even share of the slots, whatever the others reported: entry hosts that see each other's counts late would otherwise all
+     * stop and all start together. Above its share it needs a slot that is free by the aged counts. Long jobs never exceed the entry host's share of the
+     * long slots, so old counts cannot fill an endpoint with them; with more entry hosts than long slots the aged counts alone decide.
+     */
     bool hasSlot(job_class jobClass, time_point now) const;
 
     std::uint32_t ownInFlight() const
@@ -109,6 +115,8 @@
     }
 
 private:
+    std::uint32_t shareOf(std::uint32_t slots) const;
+
     std::string m_host;
     endpoint_limits m_limits;
     std::array<std::uint32_t, jobClassCount> m_own{};
