Add spare capacity policies and the move planner

Cause: pools burst in turn above their size; hosts of the spare pool must follow without flapping and without breaking the lender's budget.

Change: four policies in a std::variant (fixed peak, reactive threshold, smoothed z-score, queue model with hysteresis and move cost), a learner of burst lengths, and move_planner, which lends, passes on, returns and cancels. Planned records now name the planned record that they follow. The count used before was unsafe: the test with two planners showed the third record of one planner's chain matching the count after two records of the other, on a state that its planner did not know.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -5,3 +5,6 @@
 #include "fleet/availability_budget.h"
 #include "fleet/host_health.h"
 #include "fleet/membership.h"
+#include "fleet/move_planner.h"
+#include "fleet/move_records.h"
+#include "fleet/spare_policy.h"
--- /dev/null
+++ b/src/fleet/spare_policy.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "fleet/fixed_peak_policy.h"
+#include "fleet/queue_model_policy.h"
+#include "fleet/reactive_threshold_policy.h"
+#include "fleet/z_score_policy.h"
+
+#include <string>
+#include <variant>
+
+namespace parsleyglade {
+
+/** The spare capacity policy of one pool. Each pool has its own, because policies learn. */
+using spare_policy = std::variant<fixed_peak_policy, reactive_threshold_policy, z_score_policy, queue_model_policy>;
+
+/** Asks the policy how many hosts the pool should have. Call it once an interval. */
+pool_wish decideWish(spare_policy &policy, const std::string &pool, const pool_sample &sample, time_point now);
+
+} // namespace parsleyglade
--- a/src/records/fleet_fold.h
+++ b/src/records/fleet_fold.h
@@ -35,8 +35,9 @@
  * An entry host that starts while the log is down can't be in the log, so nobody waits for it, and by part 1 it uses no endpoint.
  * It passes requests to registered peers until it has folded its own registration; records that peers send it don't replace that.
  *
- * Planned work never exceeds a budget through a race: each planned start names the plan number, which every start raises, so the
- * second of two planners that decided on the same state is skipped. @see fleet_record_builder for the fields of each record.
+ * Planned work never exceeds a budget through a race: each planned start names the record that last took hosts away, so the second
+ * of two planners that decided on the same state is skipped. A count would not do: after two records of one planner, the third of
+ * another planner's chain would match it, although that planner knew none of the two. @see fleet_record_builder for the fields of each record.
  */
 class fleet_fold
 {
--- a/src/records/fleet_record_builder.cpp
+++ b/src/records/fleet_record_builder.cpp
@@ -46,9 +46,9 @@
     return record;
 }
 
-wire::fleet_record fleet_record_builder::drainStarted(drain_scope scope, const std::string &subject, const std::string &author, std::int64_t planNumber) const
+wire::fleet_record fleet_record_builder::drainStarted(drain_scope scope, const std::string &subject, const std::string &author, std::int64_t follows) const
 {
-    wire::fleet_record record = make(fleet_action::drain_started, subject, planNumber);
+    wire::fleet_record record = make(fleet_action::drain_started, subject, follows);
     record.detail = scope == drain_scope::host ? "host" : scope == drain_scope::rack ? "rack" : "data-centre";
     record.author = author;
     return record;
@@ -62,13 +62,13 @@
 }
 
 wire::fleet_record fleet_record_builder::moveStarted(const std::string &host, const std::string &dataCentre, const std::string &fromPool,
-                                                     const std::string &toPool, std::int64_t epoch, std::int64_t planNumber) const
+                                                     const std::string &toPool, std::int64_t epoch, std::int64_t follows) const
 {
     wire::fleet_record record = make(fleet_action::move_started, host, epoch);
     record.dataCentre = dataCentre;
     record.fromPool = fromPool;
     record.toPool = toPool;
-    record.detail = std::to_string(planNumber);
+    record.detail = std::to_string(follows);
     return record;
 }
 
--- a/src/records/fleet_record_builder.h
+++ b/src/records/fleet_record_builder.h
@@ -15,9 +15,9 @@
  * The meaning of the generic fields for each action:
  *  - entry_registered: subject is the entry host; epoch is the number of its registrations in the writer's fold.
  *  - entry_retired: subject is the entry host; epoch is the retired incarnation; an operator sets author.
- *  - drain_started: detail is "host", "rack" or "data-centre"; epoch is the plan number, or 0 for an operator's drain.
+ *  - drain_started: detail is "host", "rack" or "data-centre"; epoch is the planned record that it follows, or 0 for an operator's drain.
  *  - drain_ended: epoch is the drain's identifier.
- *  - move_*: subject is the host; epoch is its move epoch; for move_started, detail is the plan number.
+ *  - move_*: subject is the host; epoch is its move epoch; for move_started, detail is the planned record that it follows.
  *  - wave_*: subject is the wave; epoch is its version; detail is the plan, or the reason of a pause or abort.
  *  - wave_host_done: detail is the host.
  *  - snapshot: epoch is the snapshot's position; subject the digest in hexadecimal; detail the state.
@@ -34,13 +34,13 @@
     wire::fleet_record registered(const std::string &entryHost, const std::string &dataCentre, const std::string &region, std::int64_t number) const;
     wire::fleet_record retired(const std::string &entryHost, std::int64_t incarnation, const std::string &author = {}) const;
 
-    /** @param planNumber The fold's plan number for planned work, or 0 for an operator's drain, which always counts. */
-    wire::fleet_record drainStarted(drain_scope scope, const std::string &subject, const std::string &author, std::int64_t planNumber = 0) const;
+    /** @param follows fleet_state::lastPlannedRecord for planned work, or 0 for an operator's drain, which always counts. */
+    wire::fleet_record drainStarted(drain_scope scope, const std::string &subject, const std::string &author, std::int64_t follows = 0) const;
     wire::fleet_record drainEnded(std::int64_t drain, const std::string &author) const;
 
     /** With equal pools the record only fixes the pool of a host that has no record yet; the host goes on serving. */
     wire::fleet_record moveStarted(const std::string &host, const std::string &dataCentre, const std::string &fromPool, const std::string &toPool,
-                                   std::int64_t epoch, std::int64_t planNumber) const;
+                                   std::int64_t epoch, std::int64_t follows) const;
     wire::fleet_record moveAcknowledged(const std::string &host, std::int64_t epoch) const;
     wire::fleet_record moveJoined(const std::string &host, std::int64_t epoch) const;
     wire::fleet_record moveCancelled(const std::string &host, std::int64_t epoch) const;
--- a/src/records/fleet_state.cpp
+++ b/src/records/fleet_state.cpp
@@ -63,8 +63,8 @@
 /** Maps with integer keys are written as arrays of pairs by the library; the map's order makes the text canonical. */
 json asJson(const fleet_state &state)
 {
-    return {{"plan", state.planNumber}, {"entries", state.entries}, {"drains", state.drains},
-            {"hosts", state.hosts},     {"waves", state.waves},     {"recent", state.recentRecords}};
+    return {{"plan", state.lastPlannedRecord}, {"entries", state.entries}, {"drains", state.drains}, {"hosts", state.hosts}, {"waves", state.waves},
+            {"recent", state.recentRecords}};
 }
 
 bool hasKnownEnumerators(const fleet_state &state)
@@ -89,7 +89,7 @@
 
     try {
         fleet_state state;
-        state.planNumber = document.at("plan");
+        state.lastPlannedRecord = document.at("plan");
         state.entries = document.at("entries").get<std::map<std::string, entry_registration>>();
         state.drains = document.at("drains").get<std::map<std::int64_t, fleet_drain>>();
         state.hosts = document.at("hosts").get<std::map<std::string, host_assignment>>();
--- a/src/records/fleet_state.h
+++ b/src/records/fleet_state.h
@@ -15,7 +15,7 @@
 /** The state that the fleet stream's records produce. Equal in every process that folded the same records. @see fleet_fold */
 struct fleet_state
 {
-    std::int64_t planNumber = 1; /**< Rises with each record that takes hosts away: moves started and drains started. */
+    std::int64_t lastPlannedRecord = 1; /**< Identifier of the last record that took hosts away: a move or drain started. 1 before the first. */
     std::map<std::string, entry_registration> entries; /**< By entry host. */
     std::map<std::int64_t, fleet_drain> drains; /**< By identifier. */
     std::map<std::string, host_assignment> hosts; /**< By host; hosts without any move record are absent. */
--- a/src/records/fleet_transitions.cpp
+++ b/src/records/fleet_transitions.cpp
@@ -108,7 +108,7 @@
     if (!scope || !isName(record.subject)) {
         return skip_reason::corrupt;
     }
-    if (record.epoch != 0 && record.epoch != state.planNumber) {
+    if (record.epoch != 0 && record.epoch != state.lastPlannedRecord) {
         return skip_reason::stale_plan;
     }
     if (state.drains.size() >= maximumDrains) {
@@ -119,7 +119,7 @@
     if (!state.drains.emplace(drain.id, drain).second) {
         return skip_reason::duplicate;
     }
-    ++state.planNumber;
+    state.lastPlannedRecord = record.record;
     return applied;
 }
 
@@ -140,7 +140,7 @@
     if (fixesPool && !host.pool.empty()) {
         return skip_reason::stale_epoch;
     }
-    if (!fixesPool && parseNumber(record.detail) != state.planNumber) {
+    if (!fixesPool && parseNumber(record.detail) != state.lastPlannedRecord) {
         return skip_reason::stale_plan;
     }
     return applied;
@@ -163,7 +163,9 @@
 
     const bool fixesPool = record.fromPool == record.toPool;
     state.hosts[record.subject] = {last.epoch + 1, record.fromPool, fixesPool ? std::string{} : record.toPool, record.dataCentre, record.wallMilliseconds, {}};
-    state.planNumber += fixesPool ? 0 : 1;
+    if (!fixesPool) {
+        state.lastPlannedRecord = record.record;
+    }
     return applied;
 }
 
--- a/tests/fleet/membership_test.cpp
+++ b/tests/fleet/membership_test.cpp
@@ -81,7 +81,7 @@
 TEST_CASE("a moving host is usable again only in its new pool after a fresh probe")
 {
     fixture fleet;
-    fleet.append(fleet.writer().moveStarted("h1", "dc", "p", "q", 0, fleet.fold.state().planNumber));
+    fleet.append(fleet.writer().moveStarted("h1", "dc", "p", "q", 0, fleet.fold.state().lastPlannedRecord));
     CHECK(fleet.at(0).stage == move_stage::leaving);
     CHECK(fleet.at(0).waitsFor == std::vector<std::string>{"entry-1"});
     fleet.seen["h1"].inFlight = 1;
--- /dev/null
+++ b/tests/fleet/move_planner_test.cpp
@@ -0,0 +1,143 @@
+#include "fleet/fleet.h"
+#include "records/fleet_record_builder.h"
+
+#include <catch2/catch.hpp>
+
+using namespace parsleyglade;
+
+namespace {
+
+const wall_time start{std::chrono::seconds(1000)};
+
+/** Pools a and b of two hosts each and a spare pool of six, over two data centres. */
+struct planner_fixture
+{
+    fleet_tables tables{{{"a", "a", false, 0.9, 1, 8}, {"b", "b", false, 0.9, 1, 8}, {"spare", "office", true, 0.9, 2, 8}}, {}};
+    fleet_fold fold;
+    fleet_health health;
+    move_planner planner{{8, std::chrono::seconds(10), std::chrono::seconds(3)}};
+    std::int64_t nextRecord = 1;
+
+    planner_fixture()
+    {
+        for (int index = 0; index < 10; ++index) {
+            const std::string pool = index < 2 ? "a" : index < 4 ? "b" : "spare";
+            tables.hosts.push_back({"h" + std::to_string(index), pool, "r", index % 2 == 0 ? "north" : "south", "rack"});
+            health["h" + std::to_string(index)] = host_health::healthy;
+        }
+    }
+
+    std::vector<move_decision> plan(const std::vector<pool_wish> &wishes, duration later = {}) const
+    {
+        availability_budget budget(tables, fold.state(), health, 0);
+        return planner.plan(tables, fold.state(), budget, wishes, start + std::chrono::duration_cast<std::chrono::milliseconds>(later));
+    }
+
+    std::size_t append(const std::vector<move_decision> &decisions, bool join = false)
+    {
+        std::size_t accepted = 0;
+        const auto apply = [this](const wire::fleet_record &record) {
+            return fold.apply(fold.nextOffset(), record) == fold_step::applied;
+        };
+        for (const auto &record : moveRecords(decisions, 1, start, [this] { return nextRecord += 7; })) {
+            accepted += apply(record);
+            if (join) {
+                apply(fleet_record_builder(1).stamp(++nextRecord, 0).moveJoined(record.subject, record.epoch + 1));
+            }
+        }
+        return accepted;
+    }
+};
+
+pool_wish wish(const std::string &pool, std::int64_t hosts, std::vector<std::string> dataCentres = {})
+{
+    return {pool, hosts, hosts, std::nullopt, std::move(dataCentres)};
+}
+
+} // namespace
+
+// Guards against hosts taken below a pool's minimum, and against moves in a data centre where they don't help.
+TEST_CASE("moves respect the lender's budget and prefer the data centre in need")
+{
+    planner_fixture fleet;
+    const auto moves = fleet.plan({wish("a", 9, {"south", "north"})});
+    REQUIRE(moves.size() == 4);
+    CHECK(moves[0].dataCentre == "south");
+    CHECK(moves[2].dataCentre == "south");
+    CHECK(moves[3].dataCentre == "north");
+    fleet.health["h4"] = host_health::suspect;
+    CHECK(fleet.plan({wish("a", 9)}).size() == 3);
+}
+
+// Guards against a move that arrives after the burst.
+TEST_CASE("a move is made only if the expected burst outlasts it")
+{
+    const planner_fixture fleet;
+    auto wanted = wish("a", 4);
+    wanted.expectedNeed = std::chrono::seconds(2);
+    CHECK(fleet.plan({wanted}).empty());
+    wanted.expectedNeed = std::chrono::seconds(5);
+    CHECK(fleet.plan({wanted}).size() == 2);
+}
+
+// Guards against two planners that together take more than one of them may.
+TEST_CASE("two planners at once do no harm")
+{
+    planner_fixture fleet;
+    const auto one = fleet.plan({wish("a", 4)});
+    const auto other = fleet.plan({wish("b", 5)});
+    CHECK(fleet.append(one) == 2);
+    CHECK(fleet.append(other) == 0);
+    CHECK(fleet.append(fleet.plan({wish("a", 4), wish("b", 5)})) == 2);
+}
+
+// Guards against hosts that move back and forth as wishes swing.
+TEST_CASE("a moved host stays, then goes straight to the next pool or home")
+{
+    planner_fixture fleet;
+    fleet.append(fleet.plan({wish("a", 4)}), true);
+    CHECK(fleet.plan({wish("a", 2), wish("b", 2)}, std::chrono::seconds(5)).empty());
+    const auto straight = fleet.plan({wish("a", 2), wish("b", 3)}, std::chrono::seconds(11));
+    REQUIRE(straight.size() == 2);
+    CHECK(straight[0].fromPool == "a");
+    CHECK(straight[0].toPool == "b");
+    CHECK(straight[1].toPool == "spare");
+}
+
+// Guards against a drained host that joins a pool after its burst.
+TEST_CASE("a move that is no longer useful is cancelled before it joins")
+{
+    planner_fixture fleet;
+    fleet.append(fleet.plan({wish("a", 3)}));
+    const auto cancelled = fleet.plan({wish("a", 2)});
+    REQUIRE(cancelled.size() == 1);
+    CHECK(cancelled[0].step == move_step::cancel);
+    CHECK(fleet.append(cancelled) == 1);
+    CHECK(fleet.plan({wish("a", 2)}).empty());
+}
+
+// Guards against policies that miss a burst, or that go on wishing after it.
+TEST_CASE("every dynamic policy wishes more hosts in a burst and none after it")
+{
+    std::vector<spare_policy> policies{reactive_threshold_policy({}), z_score_policy({}), queue_model_policy({})};
+    for (spare_policy &policy : policies) {
+        pool_sample sample;
+        sample.interval = std::chrono::seconds(1);
+        sample.runSeconds = 1;
+        sample.homeHosts = sample.hosts = 10;
+        sample.slotsPerHost = 8;
+        time_point now{};
+        const auto ask = [&](double arrivals, int seconds) {
+            std::int64_t most = 0;
+            for (int second = 0; second < seconds; ++second) {
+                sample.arrivals = sample.running = arrivals;
+                most = std::max(most, decideWish(policy, "a", sample, now += std::chrono::seconds(1)).hosts);
+            }
+            return most;
+        };
+        CHECK(ask(2, 20) == 10);
+        CHECK(ask(125, 6) > 14);
+        ask(2, 5);
+        CHECK(ask(2, 100) == 10);
+    }
+}
--- a/tests/records/fleet_fold_test.cpp
+++ b/tests/records/fleet_fold_test.cpp
@@ -38,7 +38,7 @@
     {
         append(writer(1).registered("entry-1", "dc", "region", 0));
         append(writer(2).registered("entry-2", "dc", "region", 0));
-        append(writer(1).moveStarted("h1", "dc", "p", "q", 0, fold.state().planNumber));
+        append(writer(1).moveStarted("h1", "dc", "p", "q", 0, fold.state().lastPlannedRecord));
     }
 };
 
@@ -97,9 +97,9 @@
 {
     model_stream log;
     log.startMove();
-    CHECK(log.reason(log.writer(2).moveStarted("h1", "dc", "p", "r", 0, log.fold.state().planNumber)) == skip_reason::stale_epoch);
-    CHECK(log.reason(log.writer(2).moveStarted("h2", "dc", "p", "r", 0, 1)) == skip_reason::stale_plan);
-    CHECK(log.reason(log.writer(2).drainStarted(drain_scope::host, "h3", "wave:w", 1)) == skip_reason::stale_plan);
+    CHECK(log.reason(log.writer(2).moveStarted("h1", "dc", "p", "r", 0, log.fold.state().lastPlannedRecord)) == skip_reason::stale_epoch);
+    CHECK(log.reason(log.writer(2).moveStarted("h2", "dc", "p", "r", 0, 77)) == skip_reason::stale_plan);
+    CHECK(log.reason(log.writer(2).drainStarted(drain_scope::host, "h3", "wave:w", 77)) == skip_reason::stale_plan);
     CHECK(log.append(log.writer(0).drainStarted(drain_scope::rack, "r3", "operator")) == fold_step::applied);
 
     CHECK(log.append(log.writer(2).moveCancelled("h1", 1)) == fold_step::applied);
