--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -8,3 +8,5 @@
 #include "fleet/move_planner.h"
 #include "fleet/move_records.h"
 #include "fleet/spare_policy.h"
+#include "fleet/wave_planner.h"
+#include "fleet/wave_runner.h"
--- a/src/records/fleet_state.cpp
+++ b/src/records/fleet_state.cpp
@@ -42,7 +42,8 @@
 
 static void to_json(json &target, const maintenance_wave &value)
 {
-    target = json::array({static_cast<int>(value.state), value.version, value.batches, value.done, value.author, value.reason, value.planned});
+    target = json::array({static_cast<int>(value.state), value.version, value.batches, value.done, value.author, value.reason, value.changedBy,
+                          value.changedWallMilliseconds, value.planned});
 }
 
 static void from_json(const json &source, maintenance_wave &value)
@@ -53,7 +54,9 @@
     value.done = source.at(3).get<std::set<std::string>>();
     value.author = source.at(4);
     value.reason = source.at(5);
-    value.planned = source.at(6);
+    value.changedBy = source.at(6);
+    value.changedWallMilliseconds = source.at(7);
+    value.planned = source.at(8);
 }
 
 // NOLINTEND(readability-identifier-naming)
--- a/src/records/fleet_transitions.cpp
+++ b/src/records/fleet_transitions.cpp
@@ -315,7 +315,7 @@
     if (state.waves.size() >= maximumWaves) {
         forgetOldestWave(state);
     }
-    state.waves[record.subject] = {wave_state::planned, 1, std::move(*batches), {}, record.author, {}, offset};
+    state.waves[record.subject] = {wave_state::planned, 1, std::move(*batches), {}, record.author, {}, {}, record.wallMilliseconds, offset};
     return applied;
 }
 
@@ -341,6 +341,8 @@
 
     wave.state = starts ? (isFinished(wave) ? wave_state::finished : wave_state::running) : pauses ? wave_state::paused : wave_state::aborted;
     wave.reason = record.detail;
+    wave.changedBy = record.author;
+    wave.changedWallMilliseconds = record.wallMilliseconds;
     ++wave.version;
     return applied;
 }
--- a/src/records/maintenance_wave.h
+++ b/src/records/maintenance_wave.h
@@ -26,6 +26,8 @@
     std::set<std::string> done;
     std::string author;
     std::string reason; /**< Why it was paused or aborted. */
+    std::string changedBy; /**< Author of the last start, pause or abort. */
+    std::int64_t changedWallMilliseconds = 0; /**< When that was written. */
     log_offset planned = 0; /**< Offset of the first plan. */
 
     bool isOpen() const
--- /dev/null
+++ b/tests/fleet/wave_test.cpp
@@ -0,0 +1,208 @@
+#include "fleet/fleet.h"
+#include "records/fleet_fold.h"
+#include "records/fleet_record_builder.h"
+
+#include <catch2/catch.hpp>
+
+using namespace parsleyglade;
+
+namespace {
+
+/** Two pools of eight hosts over two data centres, four hosts to a rack; each pool may lose two, as the objective needs no reserve. */
+struct wave_fixture
+{
+    fleet_tables tables{{{"a", "a", false, 0.9, 6, 8}, {"b", "b", false, 0.9, 6, 8}}, {}};
+    fleet_fold fold;
+    fleet_health health;
+    wave_progress progress;
+    wave_settings settings;
+    double burnRate = 0;
+    wall_time now{std::chrono::hours(1)};
+    std::int64_t nextRecord = 100;
+
+    wave_fixture()
+    {
+        for (int index = 0; index < 16; ++index) {
+            const std::string name = "h" + std::to_string(index);
+            const std::string dataCentre = index / 8 == 0 ? "north" : "south";
+            tables.hosts.push_back({name, index % 2 == 0 ? "a" : "b", "r", dataCentre, "rack-" + std::to_string(index / 4)});
+            health[name] = host_health::healthy;
+        }
+    }
+
+    wave_plan planAll() const
+    {
+        return wave_planner(settings).planCycle(tables, fold.state(), health, [](const fleet_host &) { return true; });
+    }
+
+    void append(const wire::fleet_record &record)
+    {
+        fold.apply(fold.nextOffset(), record);
+    }
+
+    fleet_record_builder writer()
+    {
+        return fleet_record_builder(1).stamp(nextRecord++, now.time_since_epoch().count());
+    }
+
+    void startWave()
+    {
+        append(writer().wavePlanned("w", planAll().batches, 0, "operator"));
+        append(writer().waveChanged(wire::fleet_action::wave_started, "w", 1, "operator"));
+    }
+
+    std::vector<wave_decision> step()
+    {
+        availability_budget budget(tables, fold.state(), health);
+        const auto decisions = wave_runner(settings).next("w", {tables, fold.state(), health, progress, burnRate, now}, budget);
+        for (const auto &record : waveRecords(decisions, 1, now, [this] { return nextRecord++; })) {
+            append(record);
+        }
+        return decisions;
+    }
+
+    const maintenance_wave &wave() const
+    {
+        return fold.state().waves.at("w");
+    }
+};
+
+std::size_t countOf(const std::vector<wave_decision> &decisions, wave_step step)
+{
+    return static_cast<std::size_t>(std::count_if(decisions.begin(), decisions.end(), [step](const auto &made) { return made.step == step; }));
+}
+
+} // namespace
+
+// Guards against a plan that takes more hosts of a service than its budget, or hosts of two data centres at once.
+TEST_CASE("every planned batch fits the budgets and lies in one data centre")
+{
+    wave_fixture fleet;
+    fleet.health["h0"] = host_health::down;
+    const auto plan = fleet.planAll();
+    CHECK(plan.blocked.empty());
+    std::size_t hosts = 0;
+    for (const auto &batch : plan.batches) {
+        availability_budget budget(fleet.tables, fleet.fold.state(), fleet.health);
+        std::set<std::string> places;
+        for (const auto &host : batch) {
+            CHECK(budget.takeHost(host));
+            places.insert(std::stoi(host.substr(1)) < 8 ? "north" : "south");
+        }
+        CHECK(places.size() == 1);
+        hosts += batch.size();
+    }
+    CHECK(hosts == 16);
+
+    fleet.tables.pools[0].minimumHosts = 8;
+    CHECK(fleet.planAll().blocked.size() == 7);
+}
+
+// Guards against a wave that stalls, skips hosts, or breaks a budget while hosts fail on the way.
+TEST_CASE("a wave maintains every host once within the budgets")
+{
+    wave_fixture fleet;
+    for (fleet_pool &pool : fleet.tables.pools) {
+        pool.availabilityObjective = 0.995;
+        pool.minimumHosts = 5;
+    }
+    fleet.startWave();
+    std::map<std::string, int> maintained;
+    for (int round = 0; round < 200 && fleet.wave().isOpen(); ++round) {
+        fleet.health["h9"] = round > 5 && round < 40 ? host_health::down : host_health::healthy;
+        for (const auto &made : fleet.step()) {
+            if (made.step == wave_step::maintain_host) {
+                ++maintained[made.host];
+                fleet.progress[made.host].maintenance = maintenance_state::done;
+            }
+        }
+        for (const auto &row : availability_budget(fleet.tables, fleet.fold.state(), fleet.health).services()) {
+            CHECK(row.available() >= row.minimum);
+        }
+        fleet.now += std::chrono::seconds(10);
+    }
+    CHECK(fleet.wave().state == wave_state::finished);
+    CHECK(maintained.size() == 16);
+    CHECK(std::all_of(maintained.begin(), maintained.end(), [](const auto &entry) { return entry.second == 1; }));
+    fleet.step();
+    CHECK(fleet.fold.state().drains.empty());
+}
+
+// Guards against a wave that goes on while the services suffer, and against one that resumes over an operator's pause.
+TEST_CASE("a wave pauses on failures and burn, resumes by itself, and stays paused for an operator")
+{
+    wave_fixture fleet;
+    fleet.startWave();
+    SECTION("burn rate")
+    {
+        fleet.burnRate = 3;
+    }
+    SECTION("failures")
+    {
+        fleet.health["h8"] = fleet.health["h10"] = fleet.health["h13"] = host_health::suspect;
+    }
+    CHECK(countOf(fleet.step(), wave_step::drain_host) == 0);
+    REQUIRE(fleet.wave().state == wave_state::paused);
+    fleet.burnRate = 0.5;
+    fleet.health["h8"] = host_health::healthy;
+    fleet.now += std::chrono::minutes(9);
+    CHECK(fleet.step().empty());
+    fleet.now += std::chrono::minutes(1);
+    fleet.step();
+    REQUIRE(fleet.wave().state == wave_state::running);
+
+    fleet.append(fleet.writer().waveChanged(wire::fleet_action::wave_paused, "w", fleet.wave().version, "operator"));
+    fleet.now += std::chrono::hours(2);
+    CHECK(fleet.step().empty());
+    fleet.append(fleet.writer().waveChanged(wire::fleet_action::wave_aborted, "w", fleet.wave().version, "operator"));
+    CHECK(fleet.wave().state == wave_state::aborted);
+}
+
+// Guards against hosts that stay drained after an abort, and against an abort that cuts off hosts under maintenance.
+TEST_CASE("an abort gives back hosts that are not under maintenance")
+{
+    wave_fixture fleet;
+    fleet.startWave();
+    REQUIRE(countOf(fleet.step(), wave_step::drain_host) == 4);
+    const std::string host = fleet.fold.state().drains.begin()->second.subject;
+    fleet.progress[host].maintenance = maintenance_state::in_progress;
+    fleet.append(fleet.writer().waveChanged(wire::fleet_action::wave_aborted, "w", fleet.wave().version, "operator"));
+    CHECK(countOf(fleet.step(), wave_step::end_drain) == 3);
+    fleet.progress[host].maintenance = maintenance_state::done;
+    CHECK(countOf(fleet.step(), wave_step::end_drain) == 1);
+    CHECK(fleet.fold.state().drains.empty());
+}
+
+// Guards against a wave that waits for ever behind a long job, and against a reboot under a running job.
+TEST_CASE("long jobs are checkpointed after the limit and never cut off")
+{
+    wave_fixture fleet;
+    fleet.startWave();
+    fleet.step();
+    for (const auto &[id, drain] : fleet.fold.state().drains) {
+        fleet.progress[drain.subject].running = 1;
+    }
+    fleet.now += std::chrono::minutes(10) - std::chrono::seconds(1);
+    CHECK(fleet.step().empty());
+    fleet.now += std::chrono::seconds(1);
+    CHECK(countOf(fleet.step(), wave_step::checkpoint_jobs) == 4);
+    CHECK(countOf(fleet.step(), wave_step::maintain_host) == 0);
+}
+
+// Guards against a failed rack that is maintained late, and against a plan that names hosts that no longer exist.
+TEST_CASE("a failed rack leads the new plan, and hosts that left are dropped from it")
+{
+    wave_fixture fleet;
+    fleet.settings.pauseFailureMinimum = 8;
+    fleet.startWave();
+    for (const std::string host : {"h12", "h13", "h14", "h15"}) {
+        fleet.health[host] = host_health::down;
+    }
+    fleet.tables.hosts.erase(fleet.tables.hosts.begin() + 3);
+    CHECK(countOf(fleet.step(), wave_step::replan) == 1);
+    CHECK(fleet.wave().batches.front() == std::vector<std::string>{"h12", "h13", "h14", "h15"});
+    const auto decisions = fleet.step();
+    CHECK(countOf(decisions, wave_step::replan) == 0);
+    CHECK(decisions.front().host == "h12");
+    CHECK(countOf(decisions, wave_step::drain_host) == 4);
+}
