--- a/src/records/fleet_state.cpp
+++ b/src/records/fleet_state.cpp
@@ -42,7 +42,8 @@
 
 static void to_json(json &target, const maintenance_wave &value)
 {
-    target = json::array({static_cast<int>(value.state), value.version, value.batches, value.done, value.author, value.reason, value.planned});
+    target = json::array({static_cast<int>(value.state), value.version, value.batches, value.done, value.author, value.reason, value.changedBy,
+                          value.changedWallMilliseconds, value.planned});
 }
 
 static void from_json(const json &source, maintenance_wave &value)
@@ -53,7 +54,9 @@
     value.done = source.at(3).get<std::set<std::string>>();
     value.author = source.at(4);
     value.reason = source.at(5);
-    value.planned = source.at(6);
+    value.changedBy = source.at(6);
+    value.changedWallMilliseconds = source.at(7);
+    value.planned = source.at(8);
 }
 
 // NOLINTEND(readability-identifier-naming)
@@ -63,8 +66,8 @@
 /** Maps with integer keys are written as arrays of pairs by the library; the map's order makes the text canonical. */
 json asJson(const fleet_state &state)
 {
-    return {{"plan", state.planNumber}, {"entries", state.entries}, {"drains", state.drains},
-            {"hosts", state.hosts},     {"waves", state.waves},     {"recent", state.recentRecords}};
+    return {{"plan", state.lastPlannedRecord}, {"entries", state.entries}, {"drains", state.drains}, {"hosts", state.hosts}, {"waves", state.waves},
+            {"recent", state.recentRecords}};
 }
 
 bool hasKnownEnumerators(const fleet_state &state)
@@ -89,7 +92,7 @@
 
     try {
         fleet_state state;
-        state.planNumber = document.at("plan");
+        state.lastPlannedRecord = document.at("plan");
         state.entries = document.at("entries").get<std::map<std::string, entry_registration>>();
         state.drains = document.at("drains").get<std::map<std::int64_t, fleet_drain>>();
         state.hosts = document.at("hosts").get<std::map<std::string, host_assignment>>();
--- a/src/records/fleet_transitions.cpp
+++ b/src/records/fleet_transitions.cpp
@@ -108,7 +108,7 @@
     if (!scope || !isName(record.subject)) {
         return skip_reason::corrupt;
     }
-    if (record.epoch != 0 && record.epoch != state.planNumber) {
+    if (record.epoch != 0 && record.epoch != state.lastPlannedRecord) {
         return skip_reason::stale_plan;
     }
     if (state.drains.size() >= maximumDrains) {
@@ -119,7 +119,7 @@
     if (!state.drains.emplace(drain.id, drain).second) {
         return skip_reason::duplicate;
     }
-    ++state.planNumber;
+    state.lastPlannedRecord = record.record;
     return applied;
 }
 
@@ -140,7 +140,7 @@
     if (fixesPool && !host.pool.empty()) {
         return skip_reason::stale_epoch;
     }
-    if (!fixesPool && parseNumber(record.detail) != state.planNumber) {
+    if (!fixesPool && parseNumber(record.detail) != state.lastPlannedRecord) {
         return skip_reason::stale_plan;
     }
     return applied;
@@ -163,7 +163,9 @@
 
     const bool fixesPool = record.fromPool == record.toPool;
     state.hosts[record.subject] = {last.epoch + 1, record.fromPool, fixesPool ? std::string{} : record.toPool, record.dataCentre, record.wallMilliseconds, {}};
-    state.planNumber += fixesPool ? 0 : 1;
+    if (!fixesPool) {
+        state.lastPlannedRecord = record.record;
+    }
     return applied;
 }
 
@@ -313,7 +315,7 @@
     if (state.waves.size() >= maximumWaves) {
         forgetOldestWave(state);
     }
-    state.waves[record.subject] = {wave_state::planned, 1, std::move(*batches), {}, record.author, {}, offset};
+    state.waves[record.subject] = {wave_state::planned, 1, std::move(*batches), {}, record.author, {}, {}, record.wallMilliseconds, offset};
     return applied;
 }
 
@@ -339,6 +341,8 @@
 
     wave.state = starts ? (isFinished(wave) ? wave_state::finished : wave_state::running) : pauses ? wave_state::paused : wave_state::aborted;
     wave.reason = record.detail;
+    wave.changedBy = record.author;
+    wave.changedWallMilliseconds = record.wallMilliseconds;
     ++wave.version;
     return applied;
 }
