Add the configuration fold

Cause: every process has to arrive at the same configuration from the records of the config stream, wherever it starts and however the records reach it.

--- /dev/null
+++ b/src/records/configuration_fold.cpp
@@ -0,0 +1,287 @@
+#include "records/configuration_fold.h"
+
+#include "core/digest.h"
+#include "tables/parse_tables.h"
+#include "wire/codec.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace parsleyglade {
+
+namespace {
+
+std::string stateDigest(revision_number revision, const std::string &routesJson, const std::string &poolsJson)
+{
+    return sha256(std::to_string(revision) + '\n' + routesJson + '\n' + poolsJson);
+}
+
+/** Digest of a snapshot that stands in the log at an offset, and holds the state of the records below it. */
+std::string logSnapshotDigest(const std::string &digestOfState, log_offset offset)
+{
+    return sha256(digestOfState + "log" + std::to_string(offset));
+}
+
+/** Digest of a snapshot that a peer made, and that holds the state of the records up to and including an offset. */
+std::string peerSnapshotDigest(const std::string &digestOfState, log_offset offset)
+{
+    return sha256(digestOfState + "peer" + std::to_string(offset));
+}
+
+/** Whether a text can go into JSON answers and log lines as it is. */
+bool isPlainText(const std::string &text, std::size_t maximumBytes)
+{
+    const auto isControl = [](char character) {
+        const auto value = static_cast<unsigned char>(character);
+        return value < 0x20 || value == 0x7f;
+    };
+    if (text.size() > maximumBytes || std::any_of(text.begin(), text.end(), isControl)) {
+        return false;
+    }
+    // Serializing drops bytes that are no valid UTF-8.
+    const std::string serialized = nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::ignore);
+    return nlohmann::json::parse(serialized).get_ref<const std::string &>() == text;
+}
+
+/** A record with exactly one of its parts, or nothing. */
+std::optional<wire::configuration_record> decodeRecord(std::string_view bytes)
+{
+    if (bytes.size() > configuration_fold::maximumRecordBytes) {
+        return std::nullopt;
+    }
+
+    outcome<wire::configuration_record> record = decode<wire::configuration_record>(bytes);
+    if (!record || record->__isset.proposal == record->__isset.snapshot) {
+        return std::nullopt;
+    }
+    return std::move(*record);
+}
+
+} // namespace
+
+configuration_fold::configuration_fold(std::size_t keptRecords)
+    : m_keptRecords(keptRecords)
+{
+    assert(m_keptRecords > 0);
+    setState(0, tables());
+}
+
+configuration_step configuration_fold::apply(log_offset offset, std::string_view bytes)
+{
+    if (offset < m_nextOffset) {
+        ++m_counters.ignored;
+        return configuration_step::ignored;
+    }
+
+    const std::optional<wire::configuration_record> record = decodeRecord(bytes);
+    if (record && record->__isset.snapshot && startFrom(offset, record->snapshot)) {
+        return configuration_step::started;
+    }
+
+    if (offset > m_nextOffset) {
+        ++m_counters.gaps;
+        return configuration_step::gap;
+    }
+
+    const configuration_step step = applyInOrder(offset, record);
+    m_nextOffset = offset + 1;
+    keep(offset, bytes);
+    return step;
+}
+
+revision_number configuration_fold::revision() const
+{
+    return m_revision;
+}
+
+std::shared_ptr<const tables> configuration_fold::current() const
+{
+    return m_current;
+}
+
+const std::string &configuration_fold::digest() const
+{
+    return m_digest;
+}
+
+log_offset configuration_fold::nextOffset() const
+{
+    return m_nextOffset;
+}
+
+std::optional<proposal_result> configuration_fold::resultOf(std::int64_t proposal) const
+{
+    const auto found = m_results.find(proposal);
+    return found != m_results.end() ? std::optional(found->second) : std::nullopt;
+}
+
+std::string configuration_fold::makeSnapshot() const
+{
+    return encodeSnapshot(logSnapshotDigest(m_digest, m_nextOffset));
+}
+
+std::optional<log_offset> configuration_fold::lastSnapshotOffset() const
+{
+    return m_lastSnapshotOffset;
+}
+
+std::vector<configuration_record_copy> configuration_fold::recordsFrom(log_offset from) const
+{
+    if (from >= m_nextOffset) {
+        return {};
+    }
+
+    if (!m_kept.empty() && m_kept.front().offset <= from) {
+        return {m_kept.begin() + static_cast<std::ptrdiff_t>(from - m_kept.front().offset), m_kept.end()};
+    }
+
+    const log_offset newest = m_nextOffset - 1;
+    return {{newest, encodeSnapshot(peerSnapshotDigest(m_digest, newest))}};
+}
+
+const configuration_counters &configuration_fold::counters() const
+{
+    return m_counters;
+}
+
+configuration_step configuration_fold::applyInOrder(log_offset offset, const std::optional<wire::configuration_record> &record)
+{
+    if (!record) {
+        ++m_counters.skipped;
+        m_counters.lastSkipped = offset;
+        return configuration_step::skipped;
+    }
+    return record->__isset.proposal ? applyProposal(offset, record->proposal) : checkSnapshot(offset, record->snapshot);
+}
+
+configuration_step configuration_fold::applyProposal(log_offset offset, const wire::table_proposal &proposal)
+{
+    const auto refuse = [&](std::vector<failure> failures) {
+        ++m_counters.refused;
+        if (failures.size() > maximumFailuresOfResult) {
+            failures.resize(maximumFailuresOfResult);
+        }
+        recordResult(proposal.proposal, {false, offset, m_revision, std::move(failures)});
+        return configuration_step::refused;
+    };
+
+    if (proposal.baseRevision < 0 || static_cast<revision_number>(proposal.baseRevision) != m_revision) {
+        return refuse({{result_code::revision_conflict,
+                        "the proposal is based on revision " + std::to_string(proposal.baseRevision) + "; the current one is " + std::to_string(m_revision),
+                        {}}});
+    }
+
+    if (!isPlainText(proposal.author, maximumAuthorBytes)) {
+        return refuse({{result_code::invalid_value, "the author is too long or no plain text", "/author"}});
+    }
+
+    if (!isPlainText(proposal.note, maximumNoteBytes)) {
+        return refuse({{result_code::invalid_value, "the note is too long or no plain text", "/note"}});
+    }
+
+    outcome<tables> parsed = parseTables(proposal.routes, proposal.pools);
+    if (!parsed) {
+        return refuse(parsed.failures());
+    }
+
+    setState(m_revision + 1, std::move(*parsed));
+    ++m_counters.accepted;
+    recordResult(proposal.proposal, {true, offset, m_revision, {}});
+    return configuration_step::accepted;
+}
+
+configuration_step configuration_fold::checkSnapshot(log_offset offset, const wire::table_snapshot &snapshot)
+{
+    const bool matches = snapshot.digest == logSnapshotDigest(m_digest, offset) && snapshot.routes == m_current->routes().canonicalJson()
+        && snapshot.pools == m_current->pools().canonicalJson() && static_cast<revision_number>(snapshot.revision) == m_revision;
+    if (!matches) {
+        ++m_counters.staleSnapshots;
+        return configuration_step::stale;
+    }
+
+    m_lastSnapshotOffset = offset;
+    return configuration_step::checked;
+}
+
+bool configuration_fold::startFrom(log_offset offset, const wire::table_snapshot &snapshot)
+{
+    if (snapshot.revision < 0 || static_cast<revision_number>(snapshot.revision) < m_revision) {
+        return false;
+    }
+
+    const auto revision = static_cast<revision_number>(snapshot.revision);
+    const std::string digestOfState = stateDigest(revision, snapshot.routes, snapshot.pools);
+    const bool isFromPeer = snapshot.digest == peerSnapshotDigest(digestOfState, offset);
+    const bool isAcrossGap = offset > m_nextOffset && snapshot.digest == logSnapshotDigest(digestOfState, offset);
+    if (!isFromPeer && !isAcrossGap) {
+        return false;
+    }
+
+    outcome<tables> parsed = parseTables(snapshot.routes, snapshot.pools);
+    if (!parsed || parsed->routes().canonicalJson() != snapshot.routes || parsed->pools().canonicalJson() != snapshot.pools) {
+        return false;
+    }
+
+    setState(revision, std::move(*parsed));
+    m_nextOffset = offset + 1;
+    if (isAcrossGap) {
+        m_lastSnapshotOffset = offset;
+    }
+
+    // Peers get a new snapshot instead of the records before this offset, which are missing here.
+    m_kept.clear();
+    m_keptBytes = 0;
+    return true;
+}
+
+std::string configuration_fold::encodeSnapshot(const std::string &snapshotDigest) const
+{
+    wire::table_snapshot snapshot;
+    snapshot.__set_revision(static_cast<std::int64_t>(m_revision));
+    snapshot.__set_routes(m_current->routes().canonicalJson());
+    snapshot.__set_pools(m_current->pools().canonicalJson());
+    snapshot.__set_digest(snapshotDigest);
+
+    wire::configuration_record record;
+    record.__set_snapshot(snapshot);
+    return encode(record);
+}
+
+void configuration_fold::setState(revision_number revision, tables value)
+{
+    assert(revision >= m_revision);
+    m_revision = revision;
+    m_current = std::make_shared<const tables>(std::move(value));
+    m_digest = stateDigest(m_revision, m_current->routes().canonicalJson(), m_current->pools().canonicalJson());
+}
+
+void configuration_fold::recordResult(std::int64_t proposal, proposal_result result)
+{
+    const auto [known, isNew] = m_results.try_emplace(proposal, result);
+    if (!isNew) {
+        // A publisher that got no answer may append its proposal twice; the copy that was accepted is its result.
+        if (result.accepted) {
+            known->second = std::move(result);
+        }
+        return;
+    }
+
+    m_resultOrder.push_back(proposal);
+    if (m_resultOrder.size() > maximumResults) {
+        m_results.erase(m_resultOrder.front());
+        m_resultOrder.pop_front();
+    }
+}
+
+void configuration_fold::keep(log_offset offset, std::string_view bytes)
+{
+    // A record over the limit is skipped by every fold whatever its bytes are, so an empty one stands for it.
+    m_kept.push_back({offset, bytes.size() > maximumRecordBytes ? std::string() : std::string(bytes)});
+    m_keptBytes += m_kept.back().bytes.size();
+    while (m_keptBytes > maximumKeptBytes || m_kept.size() > m_keptRecords) {
+        m_keptBytes -= m_kept.front().bytes.size();
+        m_kept.pop_front();
+    }
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/records/configuration_step.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace parsleyglade {
+
+/** What a configuration fold did with one record. @see configuration_fold */
+enum class configuration_step : std::uint8_t {
+    accepted, /**< The proposal became the current configuration. */
+    refused, /**< The proposal was decoded and refused; its result has the reason. */
+    started, /**< The fold took its state from the snapshot. */
+    checked, /**< The snapshot agrees with the fold's state. */
+    stale, /**< The snapshot was overtaken by other records before it reached the log; nobody starts from it. */
+    skipped, /**< The record is corrupt, oversized or invalid. */
+    ignored, /**< The offset was folded before. */
+    gap, /**< Records before this one are missing; read from nextOffset(). */
+};
+
+/** The name of a step as it appears in logs. */
+constexpr std::string_view name(configuration_step step)
+{
+    switch (step) {
+    case configuration_step::accepted:
+        return "accepted";
+    case configuration_step::refused:
+        return "refused";
+    case configuration_step::started:
+        return "started";
+    case configuration_step::checked:
+        return "checked";
+    case configuration_step::stale:
+        return "stale";
+    case configuration_step::skipped:
+        return "skipped";
+    case configuration_step::ignored:
+        return "ignored";
+    case configuration_step::gap:
+        return "gap";
+    }
+    return "skipped";
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/records/records.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/** Umbrella header of the records module: folds of log records to state. */
+
+#include "records/configuration_counters.h"
+#include "records/configuration_fold.h"
+#include "records/configuration_record_copy.h"
+#include "records/configuration_step.h"
+#include "records/proposal_result.h"
--- /dev/null
+++ b/tests/records/configuration_fold_test.cpp
@@ -0,0 +1,399 @@
+#include "core/core.h"
+#include "records/records.h"
+#include "tables/tables.h"
+#include "wire/wire.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+#include <rapidcheck/catch.h>
+
+using namespace parsleyglade;
+
+namespace {
+
+const std::string emptyRoutes = R"({"routes":[]})";
+
+/** A valid pools table that differs for each number. */
+std::string poolsWith(int minimumConnections)
+{
+    return R"({"pools":[{"name":"lathe","service":"lathe","region":"north","spare":false,"availabilityObjective":0.99,"minimumHosts":1,"slotsPerHost":8,)"
+           R"("connectionsPerHost":)"
+        + std::to_string(minimumConnections)
+        + R"(,"longJobSlotShare":0.5,"team":"lathe","hosts":[{"host":"lathe-01","dataCentre":"east","rack":"east-r1","address":"127.0.0.1:9101"}]}]})";
+}
+
+std::string proposalRecord(revision_number base, std::int64_t id, const std::string &pools, const std::string &author = "lan")
+{
+    wire::table_proposal proposal;
+    proposal.baseRevision = static_cast<std::int64_t>(base);
+    proposal.routes = emptyRoutes;
+    proposal.pools = pools;
+    proposal.author = author;
+    proposal.proposal = id;
+    wire::configuration_record record;
+    record.__set_proposal(proposal);
+    return encode(record);
+}
+
+/** A number from 0 to below the limit. RapidCheck gives the seed; its own ranges start with the lower end only, which would never end a loop. */
+std::size_t below(std::mt19937_64 &random, std::size_t limit)
+{
+    return std::uniform_int_distribution<std::size_t>(0, limit - 1)(random);
+}
+
+std::string randomBytes(std::mt19937_64 &random)
+{
+    std::string bytes(below(random, 200), '\0');
+    std::generate(bytes.begin(), bytes.end(), [&random] { return static_cast<char>(below(random, 256)); });
+    return bytes;
+}
+
+/** A log of random records, with the fold that read each of them once in order. */
+struct random_log
+{
+    std::vector<std::string> records;
+    configuration_fold reference;
+
+    void add(std::string bytes)
+    {
+        reference.apply(records.size(), bytes);
+        records.push_back(std::move(bytes));
+    }
+
+    static random_log generate(std::mt19937_64 &random)
+    {
+        random_log log;
+        std::string lateSnapshot = log.reference.makeSnapshot();
+        const std::size_t count = 1 + below(random, 40);
+        for (std::size_t index = 0; index < count; ++index) {
+            const auto id = static_cast<std::int64_t>(index);
+            const revision_number base = log.reference.revision();
+            const int connections = 1 + static_cast<int>(below(random, 4000));
+            switch (below(random, 8)) {
+            case 0:
+            case 1:
+            case 2:
+                log.add(proposalRecord(base, id, poolsWith(connections)));
+                break;
+            case 3:
+                log.add(proposalRecord(base + below(random, 3), id, poolsWith(connections)));
+                break;
+            case 4:
+                log.add(proposalRecord(base, id, "{}"));
+                break;
+            case 5:
+                log.add(log.reference.makeSnapshot());
+                break;
+            case 6:
+                log.add(lateSnapshot);
+                lateSnapshot = log.reference.makeSnapshot();
+                break;
+            default:
+                log.add(randomBytes(random));
+                break;
+            }
+        }
+        return log;
+    }
+};
+
+void checkEqual(const configuration_fold &fold, const configuration_fold &reference)
+{
+    RC_ASSERT(fold.digest() == reference.digest());
+    RC_ASSERT(fold.revision() == reference.revision());
+    RC_ASSERT(fold.nextOffset() == reference.nextOffset());
+    RC_ASSERT(*fold.current() == *reference.current());
+}
+
+} // namespace
+
+// Guards against publishers that are told another result than the one in force.
+TEST_CASE("each proposal has a result with its reason")
+{
+    configuration_fold fold;
+    CHECK(fold.apply(0, proposalRecord(0, 11, poolsWith(1))) == configuration_step::accepted);
+    CHECK(fold.apply(1, proposalRecord(0, 12, poolsWith(2))) == configuration_step::refused);
+    CHECK(fold.apply(2, proposalRecord(1, 13, "{}")) == configuration_step::refused);
+    CHECK(fold.apply(3, proposalRecord(1, 14, poolsWith(3), "lan\n")) == configuration_step::refused);
+    CHECK(fold.apply(4, proposalRecord(1, 15, poolsWith(3), "l\xff")) == configuration_step::refused);
+    CHECK(fold.apply(5, proposalRecord(1, 16, poolsWith(4), "Phạm Thị Lan")) == configuration_step::accepted);
+
+    CHECK(fold.revision() == 2);
+    CHECK(fold.resultOf(11) == proposal_result{true, 0, 1, {}});
+    REQUIRE(fold.resultOf(12).has_value());
+    CHECK_FALSE(fold.resultOf(12)->accepted);
+    CHECK(fold.resultOf(12)->failures[0].code == result_code::revision_conflict);
+    CHECK(fold.resultOf(13)->failures[0].code == result_code::missing_key);
+    CHECK(fold.resultOf(13)->failures[0].pointer == "/pools");
+    CHECK(fold.resultOf(14)->failures[0].pointer == "/author");
+    CHECK(fold.resultOf(15)->failures[0].pointer == "/author");
+    CHECK(fold.resultOf(16) == proposal_result{true, 5, 2, {}});
+    CHECK_FALSE(fold.resultOf(17).has_value());
+}
+
+// Guards against a refusal that hides the acceptance of the same proposal, appended twice by a publisher that got no answer.
+TEST_CASE("a proposal that is in the log twice is accepted once and its result stays accepted")
+{
+    configuration_fold fold;
+    fold.apply(0, proposalRecord(0, 11, poolsWith(1)));
+    CHECK(fold.apply(1, proposalRecord(0, 11, poolsWith(1))) == configuration_step::refused);
+    CHECK(fold.revision() == 1);
+    CHECK(fold.resultOf(11) == proposal_result{true, 0, 1, {}});
+}
+
+// Guards against memory that grows with the number of proposals.
+TEST_CASE("the oldest results are dropped at the limit")
+{
+    configuration_fold fold;
+    for (std::size_t index = 0; index <= configuration_fold::maximumResults; ++index) {
+        fold.apply(index, proposalRecord(99, static_cast<std::int64_t>(index), "{}"));
+    }
+    CHECK_FALSE(fold.resultOf(0).has_value());
+    CHECK(fold.resultOf(1).has_value());
+}
+
+// Guards against a fold that stops at, or takes, records that are damaged.
+TEST_CASE("damaged records are skipped and counted")
+{
+    configuration_fold fold;
+    CHECK(fold.apply(0, "") == configuration_step::skipped);
+    CHECK(fold.apply(1, "junk") == configuration_step::skipped);
+    CHECK(fold.apply(2, encode(wire::configuration_record())) == configuration_step::skipped);
+    CHECK(fold.apply(3, proposalRecord(0, 1, std::string(configuration_fold::maximumRecordBytes, ' '))) == configuration_step::skipped);
+    CHECK(fold.apply(4, proposalRecord(0, 2, poolsWith(1)) + "x") == configuration_step::skipped);
+    CHECK(fold.counters().skipped == 5);
+    CHECK(fold.counters().lastSkipped == 4);
+    CHECK(fold.apply(5, proposalRecord(0, 3, poolsWith(1))) == configuration_step::accepted);
+}
+
+// Guards against a reader of a trimmed stream that starts from a damaged snapshot, or from none.
+TEST_CASE("a damaged snapshot is skipped and the one before is used")
+{
+    random_log log;
+    log.add(proposalRecord(0, 1, poolsWith(1)));
+    log.add(log.reference.makeSnapshot());
+    log.add(proposalRecord(1, 2, poolsWith(2)));
+    std::string damaged = log.reference.makeSnapshot();
+    damaged[damaged.size() / 2] ^= 1;
+    log.add(damaged);
+    log.add(proposalRecord(2, 3, poolsWith(3)));
+    CHECK(log.reference.lastSnapshotOffset() == 1);
+
+    configuration_fold fold;
+    CHECK(fold.apply(1, log.records[1]) == configuration_step::started);
+    CHECK(fold.revision() == 1);
+    for (log_offset offset = 2; offset < log.records.size(); ++offset) {
+        fold.apply(offset, log.records[offset]);
+    }
+    CHECK(fold.revision() == 3);
+    CHECK(fold.digest() == log.reference.digest());
+
+    configuration_fold late;
+    CHECK(late.apply(3, log.records[3]) == configuration_step::gap);
+    CHECK(late.apply(4, log.records[4]) == configuration_step::gap);
+    CHECK(late.revision() == 0);
+    CHECK(late.nextOffset() == 0);
+}
+
+// Guards against a fold that starts from a snapshot without the proposal that reached the log before it.
+TEST_CASE("a snapshot that was overtaken by a proposal starts no fold")
+{
+    random_log log;
+    log.add(proposalRecord(0, 1, poolsWith(1)));
+    const std::string overtaken = log.reference.makeSnapshot();
+    log.add(proposalRecord(1, 2, poolsWith(2)));
+    CHECK(log.reference.apply(2, overtaken) == configuration_step::stale);
+    CHECK(log.reference.counters().staleSnapshots == 1);
+
+    configuration_fold fold;
+    CHECK(fold.apply(2, overtaken) == configuration_step::gap);
+}
+
+// Guards against a reader overtaken by retention that goes on with records missing, or goes back to an older revision.
+TEST_CASE("after a gap only a snapshot that is not older is taken")
+{
+    random_log log;
+    log.add(proposalRecord(0, 1, poolsWith(1)));
+    log.add(proposalRecord(1, 2, poolsWith(2)));
+    log.add(log.reference.makeSnapshot());
+
+    configuration_fold fold;
+    fold.apply(0, log.records[0]);
+    CHECK(fold.apply(5, proposalRecord(1, 9, poolsWith(9))) == configuration_step::gap);
+    CHECK(fold.apply(2, log.records[2]) == configuration_step::started);
+    CHECK(fold.revision() == 2);
+
+    configuration_fold other;
+    other.apply(0, proposalRecord(0, 1, poolsWith(1)));
+    const std::string older = configuration_fold(other).recordsFrom(0).at(0).bytes;
+    random_log ahead;
+    for (revision_number base = 0; base < 3; ++base) {
+        ahead.add(proposalRecord(base, 1, poolsWith(1)));
+    }
+    CHECK(ahead.reference.apply(7, older) == configuration_step::gap);
+    CHECK(ahead.reference.revision() == 3);
+}
+
+// Guards against hosts whose configuration depends on how its records reached them.
+TEST_CASE("the same records in any batching, repeated or delivered again, give the same state")
+{
+    rc::prop("batches that overlap and repeat", [](std::uint64_t seed) {
+        std::mt19937_64 random(seed);
+        const random_log log = random_log::generate(random);
+        configuration_fold fold;
+        while (fold.nextOffset() < log.records.size()) {
+            const auto begin = below(random, fold.nextOffset() + 1);
+            const auto end = begin + below(random, log.records.size() + 1 - begin);
+            const revision_number before = fold.revision();
+            for (log_offset offset = begin; offset < end; ++offset) {
+                fold.apply(offset, log.records[offset]);
+            }
+            RC_ASSERT(fold.revision() >= before);
+        }
+        checkEqual(fold, log.reference);
+        for (std::int64_t proposal = 0; proposal < 40; ++proposal) {
+            RC_ASSERT(fold.resultOf(proposal) == log.reference.resultOf(proposal));
+        }
+    });
+
+    rc::prop("records in random order, then all in order", [](std::uint64_t seed) {
+        std::mt19937_64 random(seed);
+        const random_log log = random_log::generate(random);
+        configuration_fold fold;
+        for (int step = 0; step < 60; ++step) {
+            const auto offset = below(random, log.records.size());
+            const revision_number before = fold.revision();
+            fold.apply(offset, log.records[offset]);
+            RC_ASSERT(fold.revision() >= before);
+        }
+        for (log_offset offset = 0; offset < log.records.size(); ++offset) {
+            fold.apply(offset, log.records[offset]);
+        }
+        checkEqual(fold, log.reference);
+    });
+}
+
+// Guards against a host that starts in the middle of a trimmed stream and arrives at another configuration than the others.
+TEST_CASE("a fold that starts anywhere arrives at the same state, or knows that it has not started")
+{
+    rc::prop("start at a random offset", [](std::uint64_t seed) {
+        std::mt19937_64 random(seed);
+        const random_log log = random_log::generate(random);
+        configuration_fold fold;
+        for (auto offset = below(random, log.records.size()); offset < log.records.size(); ++offset) {
+            fold.apply(offset, log.records[offset]);
+        }
+        if (fold.nextOffset() == 0) {
+            RC_ASSERT(fold.revision() == 0U);
+        } else {
+            checkEqual(fold, log.reference);
+        }
+    });
+}
+
+// Guards against hosts that arrive at another state through their peers than through the log.
+TEST_CASE("hosts that take records from peers arrive at the same state")
+{
+    rc::prop("three hosts, of which one reads the log", [](std::uint64_t seed) {
+        std::mt19937_64 random(seed);
+        const random_log log = random_log::generate(random);
+        std::vector<configuration_fold> hosts(3, configuration_fold(3));
+        log_offset readTo = 0;
+        for (int step = 0; step < 40; ++step) {
+            const auto target = below(random, hosts.size());
+            const auto source = below(random, hosts.size());
+            if (target == 0 && readTo < log.records.size()) {
+                hosts[0].apply(readTo, log.records[readTo]);
+                ++readTo;
+            }
+            // Three records are kept, so a host that is further behind gets a snapshot. A host may also ask for what it has.
+            const log_offset from = below(random, 2) == 0 ? hosts[target].nextOffset() : 0;
+            for (const configuration_record_copy &record : hosts[source].recordsFrom(from)) {
+                hosts[target].apply(record.offset, record.bytes);
+            }
+        }
+        for (; readTo < log.records.size(); ++readTo) {
+            hosts[0].apply(readTo, log.records[readTo]);
+        }
+        for (configuration_fold &host : hosts) {
+            for (const configuration_record_copy &record : hosts[0].recordsFrom(host.nextOffset())) {
+                host.apply(record.offset, record.bytes);
+            }
+            checkEqual(host, log.reference);
+        }
+    });
+}
+
+// Guards against a host that can't catch up, or that takes a snapshot in place of a record, once peers no longer keep old records.
+TEST_CASE("a peer that no longer keeps old records hands out a snapshot")
+{
+    random_log log;
+    for (revision_number base = 0; base < configuration_fold::maximumKeptRecords + 10; ++base) {
+        log.add(proposalRecord(base, static_cast<std::int64_t>(base), poolsWith(1 + static_cast<int>(base))));
+    }
+
+    configuration_fold fresh;
+    const auto records = log.reference.recordsFrom(0);
+    REQUIRE(records.size() == 1);
+    CHECK(fresh.apply(records[0].offset, records[0].bytes) == configuration_step::started);
+    CHECK(fresh.digest() == log.reference.digest());
+    CHECK(fresh.nextOffset() == log.reference.nextOffset());
+    CHECK_FALSE(fresh.lastSnapshotOffset().has_value());
+
+    // A host that lacks only the newest record takes the snapshot in its place, and not as a record of the log.
+    configuration_fold behind;
+    for (log_offset offset = 0; offset + 1 < log.records.size(); ++offset) {
+        behind.apply(offset, log.records[offset]);
+    }
+    const auto newest = fresh.recordsFrom(behind.nextOffset());
+    REQUIRE(newest.size() == 1);
+    CHECK(behind.apply(newest[0].offset, newest[0].bytes) == configuration_step::started);
+    CHECK(behind.digest() == log.reference.digest());
+    CHECK_FALSE(behind.lastSnapshotOffset().has_value());
+    CHECK(log.reference.recordsFrom(log.reference.nextOffset()).empty());
+}
+
+// Guards against two operators who are both told that their edit is in force.
+TEST_CASE("of racing proposals exactly one wins, the first by offset")
+{
+    rc::prop("racing proposals", [](std::uint64_t seed) {
+        std::mt19937_64 random(seed);
+        random_log log;
+        const revision_number rounds = 1 + below(random, 5);
+        std::int64_t id = 0;
+        for (revision_number round = 0; round < rounds; ++round) {
+            const std::int64_t first = id;
+            const auto racers = static_cast<std::int64_t>(2 + below(random, 4));
+            for (; id < first + racers; ++id) {
+                log.add(proposalRecord(round, id, poolsWith(1 + static_cast<int>(id))));
+            }
+            for (std::int64_t racer = first; racer < id; ++racer) {
+                RC_ASSERT(log.reference.resultOf(racer)->accepted == (racer == first));
+            }
+            RC_ASSERT(log.reference.revision() == round + 1);
+        }
+    });
+}
+
+// Guards against a record that ends the process which folds it.
+TEST_CASE("random and mutated bytes never throw")
+{
+    rc::prop("random bytes at any offset", [](log_offset offset, const std::string &bytes) {
+        configuration_fold fold;
+        const configuration_step step = fold.apply(offset, bytes);
+        RC_ASSERT(step == (offset == 0 ? configuration_step::skipped : configuration_step::gap));
+    });
+    rc::prop("mutated proposals and snapshots", [](std::uint64_t seed, bool isSnapshot) {
+        std::mt19937_64 random(seed);
+        random_log log;
+        log.add(proposalRecord(0, 1, poolsWith(1)));
+        std::string bytes = isSnapshot ? log.reference.makeSnapshot() : proposalRecord(1, 2, poolsWith(2));
+        const std::string original = bytes;
+        bytes[below(random, bytes.size())] = static_cast<char>(below(random, 256));
+        log.reference.apply(1, bytes);
+        configuration_fold starter;
+        const configuration_step step = starter.apply(1, bytes);
+        RC_ASSERT(bytes == original || step == configuration_step::gap);
+    });
+}
