--- a/src/placement/admission_queue.cpp
+++ b/src/placement/admission_queue.cpp
@@ -43,8 +43,10 @@
 {
     assert(share > 0.0);
     caller_state &state = m_callers[caller];
-    if (state.waiting > 0) {
-        m_activeShares += share - state.share;
+    for (std::size_t index = 0; index < jobClassCount; ++index) {
+        if (state.waiting[index] > 0) {
+            m_classes[index].activeShares += share - state.share;
+        }
     }
     state.share = share;
 }
@@ -58,18 +60,12 @@
         return {code, m_retryAfter.next(m_refused / std::max(m_accepted, 1.0), random)};
     }
 
-    caller_state &caller = m_callers[job.caller];
-    if (caller.waiting == 0) {
-        m_activeShares += caller.share;
-    }
-    caller.waiting += 1;
-
     const std::size_t lane = laneOf(job.urgency, job.jobClass);
     if (m_lanes[lane].isEmpty()) {
         m_drainRates[lane].started(now);
     }
-    m_locations.emplace(job.id, location{lane, m_lanes[lane].push(job, caller.share)});
-    m_expiries.emplace(latestStart(job), job.id);
+    count(job);
+    m_locations.emplace(job.id, location{lane, m_lanes[lane].push(job, shareOf(job.caller))});
     return {};
 }
 
@@ -144,7 +140,7 @@
 std::size_t admission_queue::sizeOf(caller_id caller) const
 {
     const auto found = m_callers.find(caller);
-    return found == m_callers.end() ? 0 : found->second.waiting;
+    return found == m_callers.end() ? 0 : found->second.waiting[0] + found->second.waiting[1];
 }
 
 std::size_t admission_queue::laneOf(urgency_class urgency, job_class jobClass)
@@ -154,26 +150,37 @@
 
 result_code admission_queue::check(const queued_job &job, time_point now) const
 {
+    const std::size_t classIndex = static_cast<std::size_t>(job.jobClass);
     const double usable = job.urgency == urgency_class::urgent ? 1.0 : 1.0 - m_settings.urgentReserve;
-    if (static_cast<double>(size() + 1) > usable * static_cast<double>(m_settings.maximumJobs)) {
+    const double places = std::max(usable * placesOf(job.jobClass, m_settings.maximumJobs), 1.0);
+    if (size() >= m_settings.maximumJobs || static_cast<double>(m_classes[classIndex].waiting + 1) > places) {
         return result_code::queue_full;
     }
 
     const auto caller = m_callers.find(job.caller);
-    if (caller != m_callers.end() && caller->second.waiting >= limitOf(caller->second)) {
-        return result_code::caller_over_limit;
+    if (caller != m_callers.end()) {
+        const bool isAtLimit = caller->second.waiting[classIndex] >= callerLimit(caller->second.share, job.jobClass);
+        if (isAtLimit || sizeOf(job.caller) >= m_settings.maximumJobsOfCaller) {
+            return result_code::caller_over_limit;
+        }
     }
 
     const duration wait = expectedWait(job, now).value_or(duration::zero());
     return now + wait > latestStart(job) ? result_code::deadline_unreachable : result_code::ok;
 }
 
-std::size_t admission_queue::limitOf(const caller_state &caller) const
+double admission_queue::placesOf(job_class jobClass, std::size_t maximum) const
+{
+    const double share = jobClass == job_class::long_job ? m_settings.longJobQueueShare : 1.0 - m_settings.longJobQueueShare;
+    return share * static_cast<double>(maximum);
+}
+
+std::size_t admission_queue::callerLimit(double share, job_class jobClass) const
 {
     // Leaves room for one further caller of the same share, so that a storm cannot fill the queue before another caller arrives.
-    const double part = caller.share / (m_activeShares + caller.share);
-    const auto fair = static_cast<std::size_t>(part * static_cast<double>(m_settings.maximumJobs));
-    return std::clamp<std::size_t>(fair, 1, m_settings.maximumJobsOfCaller);
+    const double part = share / (m_classes[static_cast<std::size_t>(jobClass)].activeShares + share);
+    const double limit = std::min(part * placesOf(jobClass, m_settings.maximumJobs), placesOf(jobClass, m_settings.maximumJobsOfCaller));
+    return std::max<std::size_t>(static_cast<std::size_t>(limit), 1);
 }
 
 double admission_queue::shareOf(caller_id caller) const
@@ -223,16 +230,30 @@
     m_countedAt = now;
 }
 
+void admission_queue::count(const queued_job &job)
+{
+    const std::size_t classIndex = static_cast<std::size_t>(job.jobClass);
+    caller_state &caller = m_callers[job.caller];
+    if (caller.waiting[classIndex] == 0) {
+        m_classes[classIndex].activeShares += caller.share;
+    }
+    caller.waiting[classIndex] += 1;
+    m_classes[classIndex].waiting += 1;
+    m_expiries.emplace(latestStart(job), job.id);
+}
+
 void admission_queue::forget(const queued_job &job)
 {
     m_expiries.erase({latestStart(job), job.id});
+    const std::size_t classIndex = static_cast<std::size_t>(job.jobClass);
+    class_state &all = m_classes[classIndex];
     caller_state &caller = m_callers.at(job.caller);
-    caller.waiting -= 1;
-    if (caller.waiting == 0) {
-        m_activeShares -= caller.share;
-    }
-    if (isEmpty()) {
-        m_activeShares = 0.0;
+    caller.waiting[classIndex] -= 1;
+    all.waiting -= 1;
+    if (all.waiting == 0) {
+        all.activeShares = 0.0;
+    } else if (caller.waiting[classIndex] == 0) {
+        all.activeShares -= caller.share;
     }
 }
 
--- a/src/placement/admission_queue.h
+++ b/src/placement/admission_queue.h
@@ -79,15 +79,24 @@
         deficit_round_robin::position position;
     };
 
+    /** Jobs of one class. Each class has its own places, so that waiting long jobs do not take those of short ones. */
+    struct class_state
+    {
+        std::size_t waiting = 0;
+        double activeShares = 0.0; /**< Sum of the shares of the callers with waiting jobs of the class. */
+    };
+
     struct caller_state
     {
         double share = 1.0;
-        std::size_t waiting = 0;
+        std::array<std::size_t, jobClassCount> waiting{};
     };
 
     static std::size_t laneOf(urgency_class urgency, job_class jobClass);
     result_code check(const queued_job &job, time_point now) const;
-    std::size_t limitOf(const caller_state &caller) const;
+    double placesOf(job_class jobClass, std::size_t maximum) const;
+    std::size_t callerLimit(double share, job_class jobClass) const;
+    void count(const queued_job &job);
     double shareOf(caller_id caller) const;
     std::optional<std::size_t> bestLane(urgency_class urgency, job_class_set free, time_point now) const;
     std::optional<std::size_t> nextLane(job_class_set free, time_point now);
@@ -102,7 +111,7 @@
     std::unordered_map<std::uint64_t, location> m_locations;
     std::unordered_map<caller_id, caller_state> m_callers;
     std::set<std::pair<time_point, std::uint64_t>> m_expiries;
-    double m_activeShares = 0.0;
+    std::array<class_state, jobClassCount> m_classes;
     std::size_t m_urgentInRow = 0;
     double m_accepted = 0.0;
     double m_refused = 0.0;
--- a/tools/measure-policy/main.cpp
+++ b/tools/measure-policy/main.cpp
@@ -2,6 +2,7 @@
 #include "report.h"
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <iostream>
 
 using namespace parsleyglade;
@@ -17,6 +18,7 @@
     double leastViewDelay = 0.1;
     double greatestViewDelay = 2.0;
     std::size_t entryHosts = 0;
+    double longJobSlotShare = endpoint_limits{}.longJobSlotShare;
     bool json = false;
     bool csv = false;
     bool noTimings = false;
@@ -40,6 +42,7 @@
     app.add_option("--least-view-delay", chosen.leastViewDelay, "least age in seconds of another entry host's counts")->check(CLI::Range(0.0, 60.0));
     app.add_option("--greatest-view-delay", chosen.greatestViewDelay, "greatest age in seconds of another entry host's counts")->check(CLI::Range(0.0, 60.0));
     app.add_option("--entry-hosts", chosen.entryHosts, "entry hosts in each data centre; the deployment's own when 0")->check(CLI::Range(0, 20));
+    app.add_option("--long-job-slot-share", chosen.longJobSlotShare, "endpoint_limits::longJobSlotShare")->check(CLI::Range(0.0, 1.0));
     app.add_flag("--json", chosen.json, "write JSON");
     app.add_flag("--csv", chosen.csv, "write CSV");
     app.add_flag("--no-timings", chosen.noTimings, "leave out the decision times, which are real time and vary between runs");
@@ -61,6 +64,7 @@
         plan.deployments.push_back(std::move(model));
     }
     for (policy_choice &choice : policyChoices()) {
+        choice.limits.longJobSlotShare = chosen.longJobSlotShare;
         const bool isChosen = std::find(chosen.policies.begin(), chosen.policies.end(), choice.name) != chosen.policies.end();
         if (chosen.policies.empty() || isChosen) {
             plan.policies.push_back(std::move(choice));
