Add a stand-in for the network between processes

Cause: the failure tests need data centres that are cut off from each other and from the platform, both ways and one way, between real processes.

Change: standin-link relays TCP connections; its fault switches hold the bytes of a direction, as TCP does in a partition, or delay them.

--- /dev/null
+++ b/standins/standin-link/relay.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "relay_session.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+struct evconnlistener;
+
+namespace parsleyglade {
+
+/** Passes TCP connections on to a target, with faults. Owns its listener and sessions. */
+class relay
+{
+public:
+    /** Throws std::runtime_error when an address is malformed or in use. */
+    relay(event_loop &loop, std::string name, const std::string &listen, const std::string &target);
+    relay(const relay &) = delete;
+    relay &operator=(const relay &) = delete;
+    ~relay();
+
+    const std::string &name() const;
+    void setFaults(const link_faults &faults);
+
+private:
+    void accept(int socket);
+
+    event_loop &m_loop;
+    std::string m_name;
+    socket_address m_target;
+    link_faults m_faults;
+    evconnlistener *m_listener = nullptr;
+    std::vector<std::weak_ptr<relay_session>> m_sessions;
+};
+
+} // namespace parsleyglade
