--- a/tests/platform/standin_endpoint_test.cpp
+++ b/tests/platform/standin_endpoint_test.cpp
@@ -23,9 +23,9 @@
         return result;
     }
 
-    http_request job(const std::string &key, const std::string &body, int milliseconds = 1) const
+    outgoing_request job(const std::string &key, const std::string &body, int milliseconds = 1) const
     {
-        http_request request;
+        outgoing_request request;
         request.address = endpoint.address();
         request.method = "POST";
         request.target = "/lathe/paths";
@@ -35,14 +35,14 @@
         return request;
     }
 
-    http_answer send(const http_request &request)
+    http_answer send(const outgoing_request &request)
     {
         return runUntilDone<http_answer>(loop, [&](auto done) { requester.send(request, done); }).value();
     }
 
     nlohmann::json get(const std::string &target)
     {
-        http_request request;
+        outgoing_request request;
         request.address = endpoint.address();
         request.target = target;
         return nlohmann::json::parse(send(request).body);
@@ -50,7 +50,7 @@
 
     int setFaults(const std::string &text)
     {
-        http_request request;
+        outgoing_request request;
         request.address = endpoint.address();
         request.method = "PUT";
         request.target = "/v1/faults";
@@ -166,7 +166,7 @@
     standin_endpoint narrow(fixture.loop, "127.0.0.1:0", settings);
     std::vector<std::string> order;
     for (const char *key : {"a", "b", "c"}) {
-        http_request request = fixture.job(key, "x", key[0] == 'a' ? 50 : 1);
+        outgoing_request request = fixture.job(key, "x", key[0] == 'a' ? 50 : 1);
         request.address = narrow.address();
         fixture.requester.send(request, [&order, key](const http_answer &) { order.emplace_back(key); });
         runFor(fixture.loop, 10ms);
