Complete the operators' interface of the entry daemon

Cause: operators need one answer about the whole deployment, and commands that take effect once although they may be sent to two entry hosts.

Change: status gathered from all known entry hosts, with those that did not answer named; tables, publishing, drains and waves; a command's own number becomes the record's identifier; counted refusals.

--- /dev/null
+++ b/src/entry/admin_answers.cpp
@@ -0,0 +1,24 @@
+#include "entry/admin_answers.h"
+
+#include <cassert>
+
+namespace parsleyglade {
+
+http_response adminAnswer(int status, const nlohmann::json &body)
+{
+    return {status, {{"Content-Type", "application/json"}}, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
+}
+
+http_response adminRefusal(const std::vector<failure> &failures, nlohmann::json body)
+{
+    assert(!failures.empty());
+    body["failures"] = nlohmann::json::array();
+    for (const failure &each : failures) {
+        const result_code_row &row = describe(each.code);
+        body["failures"].push_back(
+            {{"code", static_cast<int>(each.code)}, {"name", row.name}, {"pointer", each.pointer}, {"reason", each.reason}, {"remedy", row.remedy}});
+    }
+    return adminAnswer(describe(failures.front().code).httpStatus, body);
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/entry/admin_fleet.cpp
@@ -0,0 +1,182 @@
+#include "core/json_checker.h"
+#include "entry/admin_answers.h"
+#include "entry/admin_task.h"
+#include "entry/status_document.h"
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+
+namespace parsleyglade {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t maximumNames = 1000;
+constexpr std::size_t maximumAuthorBytes = 128;
+constexpr std::size_t maximumReasonBytes = 1024;
+constexpr std::int64_t largestExact = (std::int64_t{1} << 53) - 1;
+constexpr int statusOk = 200;
+
+drain_scope scopeOf(const std::string &kind)
+{
+    if (kind == "host") {
+        return drain_scope::host;
+    }
+    return kind == "rack" ? drain_scope::rack : drain_scope::data_centre;
+}
+
+std::set<std::string> readNames(json_checker &body, std::string_view key)
+{
+    std::set<std::string> names;
+    if (body.has(key)) {
+        for (json_checker &element : body.member(key).elements(0, maximumNames)) {
+            names.insert(element.identifier());
+        }
+    }
+    return names;
+}
+
+std::string readText(json_checker &body, std::string_view key, std::size_t maximumBytes)
+{
+    return body.has(key) ? body.member(key).text(0, maximumBytes) : std::string();
+}
+
+/** The record of an operator's command has the command's own number, so that a repeated command has one effect. */
+wire::fleet_record withIdentifier(wire::fleet_record record, std::int64_t identifier)
+{
+    record.record = identifier;
+    return record;
+}
+
+} // namespace
+
+void admin_task::startDrain(const exchange_pointer &exchange, const json &body)
+{
+    std::vector<failure> failures;
+    json_checker checker(body, failures);
+    checker.checkObject({"request", "kind", "subject"}, {"author", "reason"});
+    const std::int64_t request = checker.member("request").integer(1, largestExact);
+    const std::string kind = checker.member("kind").oneOf({"host", "rack", "data-centre"});
+    const std::string subject = checker.member("subject").identifier();
+    const std::string author = readText(checker, "author", maximumAuthorBytes);
+    if (!failures.empty()) {
+        exchange->respond(adminRefusal(failures));
+        return;
+    }
+
+    const fleet_drain drain{request, scopeOf(kind), subject, author, 0};
+    json hosts = json::array();
+    for (const fleet_host &host : m_context.fleet.publishedHosts().hosts) {
+        if (drain.covers(host.name, host.rack, host.dataCentre)) {
+            hosts.push_back(host.name);
+        }
+    }
+    if (hosts.empty()) {
+        exchange->respond(adminRefusal({{result_code::unknown_host, "no published host belongs to " + kind + ' ' + subject, "/subject"}}));
+        return;
+    }
+
+    const auto record = withIdentifier(m_context.fleet.record().drainStarted(drain.scope, subject, author), request);
+    m_context.fleet.append(record, [exchange, hosts](const outcome<std::int64_t> &result) {
+        if (!result) {
+            exchange->respond(adminRefusal(result.failures()));
+            return;
+        }
+        exchange->respond(adminAnswer(statusOk, {{"id", std::to_string(*result)}, {"hosts", hosts}}));
+    });
+}
+
+void admin_task::endDrain(const exchange_pointer &exchange, const std::string &id)
+{
+    std::int64_t drain = 0;
+    std::from_chars(id.data(), id.data() + id.size(), drain);
+    if (!m_context.fleet.fold().state().drains.contains(drain)) {
+        exchange->respond(adminRefusal({{result_code::drain_not_found, "no drain has this identifier", {}}}));
+        return;
+    }
+
+    m_context.fleet.append(m_context.fleet.record().drainEnded(drain, "operator"), [exchange, id](const outcome<std::int64_t> &result) {
+        exchange->respond(result ? adminAnswer(statusOk, {{"id", id}}) : adminRefusal(result.failures()));
+    });
+}
+
+fleet_health admin_task::health() const
+{
+    fleet_health health;
+    for (const fleet_host &host : m_context.fleet.publishedHosts().hosts) {
+        // Hosts of other data centres are not probed from here; their entry hosts' probes decide before each drain.
+        const bool isNear = host.dataCentre == m_context.settings.dataCentre;
+        health[host.name] = isNear ? healthOf(m_context.endpoints.observation(host.name), m_context.loop.now()) : host_health::healthy;
+    }
+    return health;
+}
+
+void admin_task::planWave(const exchange_pointer &exchange, const json &body)
+{
+    std::vector<failure> failures;
+    json_checker checker(body, failures);
+    checker.checkObject({"request"}, {"pools", "racks", "dataCentres", "author", "reason"});
+    const std::int64_t request = checker.member("request").integer(1, largestExact);
+    const std::set<std::string> pools = readNames(checker, "pools");
+    const std::set<std::string> racks = readNames(checker, "racks");
+    const std::set<std::string> dataCentres = readNames(checker, "dataCentres");
+    const std::string author = readText(checker, "author", maximumAuthorBytes);
+    if (!failures.empty()) {
+        exchange->respond(adminRefusal(failures));
+        return;
+    }
+
+    const auto isSelected = [&](const fleet_host &host) {
+        const bool isNamed = (pools.empty() || pools.contains(host.pool)) && (racks.empty() || racks.contains(host.rack))
+            && (dataCentres.empty() || dataCentres.contains(host.dataCentre));
+        return isNamed;
+    };
+    const wave_plan plan = wave_planner(wave_settings{}).planCycle(m_context.fleet.publishedHosts(), m_context.fleet.fold().state(), health(), isSelected);
+    if (!plan.blocked.empty() || plan.batches.empty()) {
+        std::string names;
+        for (const std::string &host : plan.blocked) {
+            names += ' ' + host;
+        }
+        const std::string reason = plan.batches.empty() ? "no host is selected" : "no budget lets these hosts go:" + names;
+        exchange->respond(adminRefusal({{plan.blocked.empty() ? result_code::unknown_host : result_code::budget_exceeded, reason, {}}}));
+        return;
+    }
+
+    const std::string wave = "wave-" + std::to_string(request);
+    appendWave(exchange, wave, withIdentifier(m_context.fleet.record().wavePlanned(wave, plan.batches, 0, author), request));
+}
+
+void admin_task::changeWave(const exchange_pointer &exchange, const std::string &wave, const std::string &action)
+{
+    const auto found = m_context.fleet.fold().state().waves.find(wave);
+    if (found == m_context.fleet.fold().state().waves.end()) {
+        exchange->respond(adminRefusal({{result_code::wave_not_found, "no wave has this name", {}}}));
+        return;
+    }
+
+    const std::map<std::string, wire::fleet_action::type> actions{
+        {"start", wire::fleet_action::wave_started}, {"pause", wire::fleet_action::wave_paused}, {"abort", wire::fleet_action::wave_aborted}};
+    const auto wanted = actions.find(action);
+    if (wanted == actions.end()) {
+        exchange->respond(adminRefusal({{result_code::unknown_route, "a wave can be started, paused and aborted", {}}}));
+        return;
+    }
+    appendWave(exchange, wave, m_context.fleet.record().waveChanged(wanted->second, wave, found->second.version, "operator", action));
+}
+
+void admin_task::appendWave(const exchange_pointer &exchange, const std::string &wave, const wire::fleet_record &record)
+{
+    m_context.fleet.append(record, [this, exchange, wave](const outcome<std::int64_t> &result) {
+        const auto found = m_context.fleet.fold().state().waves.find(wave);
+        if (!result || found == m_context.fleet.fold().state().waves.end()) {
+            const failure reason = result ? failure{result_code::wave_state, "the wave is gone", {}} : result.lastReason();
+            exchange->respond(adminRefusal({{reason.code == result_code::move_conflict ? result_code::wave_state : reason.code, reason.reason, {}}}));
+            return;
+        }
+        exchange->respond(adminAnswer(statusOk, waveJson(wave, found->second, m_context.fleet.publishedHosts())));
+    });
+}
+
+} // namespace parsleyglade
--- a/src/entry/admin_task.cpp
+++ b/src/entry/admin_task.cpp
@@ -1,16 +1,23 @@
 #include "entry/admin_task.h"
 
 #include "core/digest.h"
-#include "entry/answers.h"
-#include "transport/socket_address.h"
+#include "core/json_checker.h"
+#include "entry/admin_answers.h"
+#include "entry/status_document.h"
 
 namespace parsleyglade {
 
 namespace {
 
+using nlohmann::json;
+
 constexpr std::string_view bearer = "Bearer ";
+constexpr std::string_view drainsPath = "/v1/drains/";
+constexpr std::string_view wavesPath = "/v1/waves/";
 constexpr std::size_t maximumBodyBytes = std::size_t{1024} * 1024;
 constexpr std::size_t maximumConnections = 64;
+constexpr int statusOk = 200;
+constexpr int statusNotReady = 503;
 
 http_server_settings makeServerSettings(const entry_settings &settings)
 {
@@ -23,20 +30,20 @@
     return made;
 }
 
-http_response jsonResponse(int status, const nlohmann::json &body)
+bool startsWith(const std::string &text, std::string_view prefix)
 {
-    return {status, {{"Content-Type", "application/json"}}, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
+    return text.compare(0, prefix.size(), prefix) == 0;
 }
 
 } // namespace
 
-admin_task::admin_task(event_loop &loop, const entry_settings &settings, admin_context context)
-    : m_loop(loop)
-    , m_settings(settings)
-    , m_context(std::move(context))
+admin_task::admin_task(admin_context context)
+    : m_context(std::move(context))
     , m_server(
-          loop, makeServerSettings(settings), [this](const exchange_pointer &exchange) { handle(exchange); },
-          [](result_code code) { return makeRefusal(code, {}); })
+          m_context.loop, makeServerSettings(m_context.settings), [this](const exchange_pointer &exchange) { handle(exchange); },
+          [](result_code code) {
+              return adminRefusal({{code, std::string(describe(code).remedy), {}}});
+          })
 {
 }
 
@@ -48,7 +55,8 @@
 bool admin_task::isAuthorized(const http_request &request) const
 {
     const auto header = findHeader(request.headers, "Authorization");
-    return header && header->substr(0, bearer.size()) == bearer && equalSecrets(toHex(sha256(header->substr(bearer.size()))), m_settings.operatorTokenSha256);
+    return header && header->substr(0, bearer.size()) == bearer
+        && equalSecrets(toHex(sha256(header->substr(bearer.size()))), m_context.settings.operatorTokenSha256);
 }
 
 void admin_task::handle(const exchange_pointer &exchange)
@@ -56,76 +64,133 @@
     const http_request &request = exchange->request();
     // The platform's balancer asks for health without a token; the answers tell nothing else.
     if (request.path == "/healthz") {
-        exchange->respond(jsonResponse(200, {{"healthy", true}}));
+        exchange->respond(adminAnswer(statusOk, {{"healthy", true}}));
         return;
     }
     if (request.path == "/readyz") {
         const bool isReady = m_context.isReady();
-        exchange->respond(jsonResponse(isReady ? 200 : 503, {{"ready", isReady}}));
+        exchange->respond(adminAnswer(isReady ? statusOk : statusNotReady, {{"ready", isReady}}));
         return;
     }
     if (!isAuthorized(request)) {
-        exchange->respond(makeRefusal(result_code::not_authenticated, {}));
+        exchange->respond(adminRefusal({{result_code::not_authenticated, "the operator token is missing or wrong", {}}}));
         return;
     }
 
-    if (request.method == "GET" && request.path == "/v1/status") {
-        handleStatus(exchange);
-    } else if (request.method == "POST" && request.path == "/v1/publish") {
-        handlePublish(exchange);
-    } else {
-        exchange->respond(makeRefusal(result_code::unknown_route, "the operators' interface has no such path"));
+    const bool isHandled = request.method == "GET" ? handleRead(exchange) : handleChange(exchange);
+    if (!isHandled) {
+        exchange->respond(adminRefusal({{result_code::unknown_route, "the operators' interface has no such method and path", {}}}));
     }
 }
 
-void admin_task::handleStatus(const exchange_pointer &exchange)
+bool admin_task::handleRead(const exchange_pointer &exchange)
 {
-    exchange->respond(jsonResponse(200, ownStatus()));
+    const std::string &path = exchange->request().path;
+    if (path == "/v1/status") {
+        sendStatus(exchange);
+    } else if (path == "/v1/tables") {
+        sendTables(exchange);
+    } else {
+        return false;
+    }
+    return true;
 }
 
-nlohmann::json admin_task::ownStatus() const
+bool admin_task::handleChange(const exchange_pointer &exchange)
 {
-    nlohmann::json status{{"entryHost", m_settings.entryHost},
-                          {"dataCentre", m_settings.dataCentre},
-                          {"revision", m_context.configuration.fold().revision()},
-                          {"digest", toHex(m_context.configuration.fold().digest())},
-                          {"logReachable", m_context.configuration.isLogReachable()}};
-    for (const host_membership &row : m_context.fleet.memberships()) {
-        nlohmann::json reasons = nlohmann::json::array();
-        for (const membership_reason reason : row.reasons) {
-            reasons.push_back(name(reason));
-        }
-        status["hosts"].push_back({{"host", row.host}, {"pool", row.pool}, {"reasons", reasons}});
+    const http_request &request = exchange->request();
+    if (request.method == "POST" && request.path == "/v1/publish") {
+        withBody(exchange, &admin_task::publish);
+    } else if (request.method == "POST" && request.path == "/v1/drains") {
+        withBody(exchange, &admin_task::startDrain);
+    } else if (request.method == "POST" && request.path == "/v1/waves") {
+        withBody(exchange, &admin_task::planWave);
+    } else if (request.method == "DELETE" && startsWith(request.path, drainsPath)) {
+        endDrain(exchange, request.path.substr(drainsPath.size()));
+    } else if (request.method == "POST" && startsWith(request.path, wavesPath) && request.path.rfind('/') > wavesPath.size()) {
+        const auto slash = request.path.rfind('/');
+        changeWave(exchange, request.path.substr(wavesPath.size(), slash - wavesPath.size()), request.path.substr(slash + 1));
+    } else {
+        return false;
     }
-    for (const auto &row : m_context.jobs.dispatch().status()) {
-        status["pools"].push_back({{"pool", row.pool}, {"queued", row.queued}, {"running", row.running}, {"usable", row.usableEndpoints}});
+    return true;
+}
+
+void admin_task::withBody(const exchange_pointer &exchange, body_handler handler)
+{
+    const auto body = json_checker::parse(exchange->request().body, maximumBodyBytes);
+    if (!body) {
+        exchange->respond(adminRefusal(body.failures()));
+        return;
     }
-    for (const auto &[stream, figures] : m_context.claims.status()) {
-        status["streams"].push_back({{"stream", stream}, {"nextOffset", figures.nextOffset}, {"openClaims", figures.openClaims}, {"appends", figures.appends}});
+    (this->*handler)(exchange, *body);
+}
+
+std::vector<std::string> admin_task::registeredEntryHosts() const
+{
+    std::vector<std::string> names;
+    for (const auto &[entryHost, registration] : m_context.fleet.fold().state().entries) {
+        if (registration.active) {
+            names.push_back(entryHost);
+        }
     }
-    return status;
+    return names;
 }
 
-void admin_task::handlePublish(const exchange_pointer &exchange)
+void admin_task::sendStatus(const exchange_pointer &exchange)
 {
-    const auto body = nlohmann::json::parse(exchange->request().body, nullptr, false);
-    if (!body.is_object() || !body.contains("routes") || !body.contains("pools")) {
-        exchange->respond(makeRefusal(result_code::invalid_request, "the body must have routes and pools"));
+    gatherDocuments(m_context.loop, m_context.peers, registeredEntryHosts(), "status", [this, exchange](const gathered_documents &others) {
+        exchange->respond(adminAnswer(statusOk, makeStatus(m_context, makeOwnStatus(m_context, m_refusals), others)));
+    });
+}
+
+void admin_task::sendTables(const exchange_pointer &exchange)
+{
+    const auto published = m_context.configuration.current();
+    exchange->respond(adminAnswer(statusOk,
+                                  {{"revision", m_context.configuration.fold().revision()},
+                                   {"digest", toHex(m_context.configuration.fold().digest())},
+                                   {"routes", json::parse(published->routes().canonicalJson())},
+                                   {"pools", json::parse(published->pools().canonicalJson())}}));
+}
+
+void admin_task::publish(const exchange_pointer &exchange, const json &body)
+{
+    std::vector<failure> failures;
+    json_checker checker(body, failures);
+    if (!checker.checkObject({"request", "baseRevision", "routes", "pools"}, {"author", "note"})) {
+        exchange->respond(adminRefusal(failures));
         return;
     }
 
-    m_context.configuration.publish(body.value("baseRevision", revision_number{0}), body["routes"].dump(), body["pools"].dump(), body.value("author", ""),
-                                    body.value("note", ""), [exchange](const publish_result &result) {
-                                        nlohmann::json answer{{"accepted", result.accepted}, {"decided", result.decided}, {"revision", result.revision}};
-                                        for (const failure &reason : result.failures) {
-                                            answer["failures"].push_back({{"pointer", reason.pointer}, {"name", name(reason.code)}, {"reason", reason.reason}});
-                                        }
-                                        exchange->respond(jsonResponse(result.accepted ? 200 : 409, answer));
-                                    });
+    constexpr std::int64_t largestExact = (std::int64_t{1} << 53) - 1;
+    publication wanted;
+    wanted.id = checker.member("request").integer(1, largestExact);
+    wanted.baseRevision = static_cast<revision_number>(checker.member("baseRevision").integer(0, largestExact));
+    wanted.author = checker.has("author") ? checker.member("author").text(0, configuration_fold::maximumAuthorBytes) : std::string();
+    wanted.note = checker.has("note") ? checker.member("note").text(0, configuration_fold::maximumNoteBytes) : std::string();
+    if (!failures.empty()) {
+        exchange->respond(adminRefusal(failures));
+        return;
+    }
+
+    wanted.routes = body["routes"].dump();
+    wanted.pools = body["pools"].dump();
+    m_context.configuration.publish(wanted, [exchange](const publish_result &result) {
+        if (result.accepted) {
+            exchange->respond(adminAnswer(statusOk, {{"accepted", true}, {"revision", result.revision}}));
+            return;
+        }
+        exchange->respond(adminRefusal(result.failures, {{"accepted", false}, {"decided", result.decided}, {"revision", result.revision}}));
+    });
 }
 
-void admin_task::jobEnded(const job &, const job_outcome &, duration)
+void admin_task::jobEnded(const job &ended, const job_outcome &outcome, duration)
 {
+    if (outcome.code != result_code::ok) {
+        m_refusals.forgetOld(m_context.loop.wallNow());
+        m_refusals.add(ended.via.pool, outcome.code, outcome.reason, m_context.loop.wallNow());
+    }
 }
 
 bool admin_task::serve(wire::peer_message &message, const peer_server::reply_function &reply)
@@ -135,7 +200,7 @@
     }
 
     wire::document_reply document;
-    document.json = ownStatus().dump();
+    document.json = message.document.document == "status" ? makeOwnStatus(m_context, m_refusals).dump() : std::string("null");
     wire::peer_message answer;
     answer.__set_documentReply(document);
     reply(answer);
--- a/src/entry/admin_task.h
+++ b/src/entry/admin_task.h
@@ -1,12 +1,8 @@
 #pragma once
 
-#include "entry/caller_task.h"
-#include "entry/claim_task.h"
-#include "entry/configuration_task.h"
-#include "entry/endpoint_task.h"
-#include "entry/fleet_task.h"
-#include "entry/job_task.h"
-#include "entry/peer_task.h"
+#include "entry/admin_context.h"
+#include "entry/document_gatherer.h"
+#include "entry/refusal_counter.h"
 #include "transport/transport.h"
 
 #include <nlohmann/json.hpp>
@@ -17,24 +13,11 @@
 
 namespace parsleyglade {
 
-/** The other tasks, which the operators' interface reads and commands. */
-struct admin_context
-{
-    peer_task &peers;
-    claim_task &claims;
-    configuration_task &configuration;
-    fleet_task &fleet;
-    endpoint_task &endpoints;
-    job_task &jobs;
-    caller_task &callers;
-    std::function<bool()> isReady;
-};
-
-/** The listener for operators: status, tables, publishing, drains, health. Owns the listener. */
+/** The listener for operators, by docs/admin-interface.md: status, tables, publishing, drains, waves, health. Owns the listener. */
 class admin_task
 {
 public:
-    admin_task(event_loop &loop, const entry_settings &settings, admin_context context);
+    explicit admin_task(admin_context context);
     admin_task(const admin_task &) = delete;
     admin_task &operator=(const admin_task &) = delete;
     ~admin_task() = default;
@@ -50,16 +33,30 @@
 
 private:
     using exchange_pointer = std::shared_ptr<http_exchange>;
+    using body_handler = void (admin_task::*)(const exchange_pointer &, const nlohmann::json &);
 
     void handle(const exchange_pointer &exchange);
     bool isAuthorized(const http_request &request) const;
-    void handleStatus(const exchange_pointer &exchange);
-    void handlePublish(const exchange_pointer &exchange);
-    nlohmann::json ownStatus() const;
+    bool handleRead(const exchange_pointer &exchange);
+    bool handleChange(const exchange_pointer &exchange);
+    void withBody(const exchange_pointer &exchange, body_handler handler);
+
+    void sendStatus(const exchange_pointer &exchange);
+    void sendTables(const exchange_pointer &exchange);
+    void publish(const exchange_pointer &exchange, const nlohmann::json &body);
+
+    // Drains and waves, in admin_fleet.cpp.
+    void startDrain(const exchange_pointer &exchange, const nlohmann::json &body);
+    void endDrain(const exchange_pointer &exchange, const std::string &id);
+    void planWave(const exchange_pointer &exchange, const nlohmann::json &body);
+    void changeWave(const exchange_pointer &exchange, const std::string &wave, const std::string &action);
+    void appendWave(const exchange_pointer &exchange, const std::string &wave, const wire::fleet_record &record);
+    fleet_health health() const;
+
+    std::vector<std::string> registeredEntryHosts() const;
 
-    event_loop &m_loop;
-    const entry_settings &m_settings;
     admin_context m_context;
+    refusal_counter m_refusals;
     http_server m_server;
 };
 
--- a/src/entry/configuration_task.cpp
+++ b/src/entry/configuration_task.cpp
@@ -167,26 +167,31 @@
     return false;
 }
 
-void configuration_task::publish(revision_number baseRevision, const std::string &routes, const std::string &pools, const std::string &author,
-                                 const std::string &note, std::function<void(publish_result)> done)
+void configuration_task::publish(const publication &wanted, std::function<void(publish_result)> done)
 {
-    const auto checked = parseTables(routes, pools);
+    const auto checked = parseTables(wanted.routes, wanted.pools);
     if (!checked) {
         m_loop.post([done = std::move(done), failures = checked.failures(), revision = m_fold.revision()] { done({false, true, revision, failures}); });
         return;
     }
 
+    // The command may have been sent to another entry host before.
+    if (const auto known = m_fold.resultOf(wanted.id)) {
+        m_loop.post([done = std::move(done), result = *known] { done({result.accepted, true, result.revision, result.failures}); });
+        return;
+    }
+
     wire::table_proposal proposal;
-    proposal.baseRevision = static_cast<std::int64_t>(baseRevision);
+    proposal.baseRevision = static_cast<std::int64_t>(wanted.baseRevision);
     proposal.routes = checked->routes().canonicalJson();
     proposal.pools = checked->pools().canonicalJson();
-    proposal.author = author;
-    proposal.note = note;
-    proposal.proposal = static_cast<std::int64_t>(m_random());
+    proposal.author = wanted.author;
+    proposal.note = wanted.note;
+    proposal.proposal = wanted.id;
     wire::configuration_record record;
     record.__set_proposal(proposal);
 
-    const std::int64_t id = proposal.proposal;
+    const std::int64_t id = wanted.id;
     waiting_publication &waiting = m_waiting[id];
     waiting.done = std::move(done);
     const auto giveUp = [this, id](const std::string &reason) {
--- a/src/entry/configuration_task.h
+++ b/src/entry/configuration_task.h
@@ -6,7 +6,6 @@
 #include "records/records.h"
 
 #include <functional>
-#include <random>
 
 namespace parsleyglade {
 
@@ -19,6 +18,17 @@
     std::vector<failure> failures;
 };
 
+/** Tables that an operator wants to publish. */
+struct publication
+{
+    std::int64_t id = 0; /**< The command's own number; the same command sent again has one effect. */
+    revision_number baseRevision = 0;
+    std::string routes; /**< JSON. */
+    std::string pools; /**< JSON. */
+    std::string author;
+    std::string note;
+};
+
 /** Keeps the configuration: follows the log stream, exchanges records with peers, publishes, and writes snapshots. */
 class configuration_task : public peer_task::listener
 {
@@ -37,8 +47,7 @@
     const stream_follower &follower() const;
 
     /** Checks and appends a proposal, and waits for the log's order to decide it. */
-    void publish(revision_number baseRevision, const std::string &routes, const std::string &pools, const std::string &author, const std::string &note,
-                 std::function<void(publish_result)> done);
+    void publish(const publication &wanted, std::function<void(publish_result)> done);
 
     /** Answers configuration messages of another entry host. Returns whether the message was one. */
     bool serve(wire::peer_message &message, const peer_server::reply_function &reply);
@@ -69,7 +78,6 @@
     std::function<void()> m_changed = [] {
     };
     std::map<std::int64_t, waiting_publication> m_waiting;
-    std::mt19937_64 m_random{std::random_device{}()};
     bool m_isFetching = false;
     bool m_isWritingSnapshot = false;
     time_point m_snapshotAt{};
--- /dev/null
+++ b/src/entry/document_gatherer.cpp
@@ -0,0 +1,65 @@
+#include "entry/document_gatherer.h"
+
+#include <memory>
+#include <set>
+
+namespace parsleyglade {
+
+namespace {
+
+constexpr duration gatherLimit = std::chrono::seconds{1};
+
+struct gathering
+{
+    std::set<std::string> missing;
+    gathered_documents documents;
+    std::function<void(gathered_documents)> done;
+};
+
+outcome<nlohmann::json> readDocument(const outcome<wire::peer_message> &reply)
+{
+    if (!reply) {
+        return reply.lastReason();
+    }
+
+    auto document = nlohmann::json::parse(reply->documentReply.json, nullptr, false);
+    if (!document.is_object()) {
+        return failure{result_code::peer_unreachable, "the entry host answered with another form", {}};
+    }
+    return document;
+}
+
+} // namespace
+
+void gatherDocuments(event_loop &loop, peer_task &peers, const std::vector<std::string> &registered, const std::string &document,
+                     std::function<void(gathered_documents)> done)
+{
+    const auto state = std::make_shared<gathering>();
+    state->done = std::move(done);
+    state->missing.insert(registered.begin(), registered.end());
+    for (const peer_state &peer : peers.knownPeers()) {
+        state->missing.insert(peer.identity.entryHost);
+    }
+    state->missing.erase(peers.self());
+    if (state->missing.empty()) {
+        loop.post([state] { state->done({}); });
+        return;
+    }
+
+    const std::set<std::string> wanted = state->missing;
+    for (const std::string &entryHost : wanted) {
+        wire::document_request request;
+        request.document = document;
+        wire::peer_message message;
+        message.__set_document(request);
+        peers.request(entryHost, std::move(message), gatherLimit, [state, entryHost](const outcome<wire::peer_message> &reply) {
+            state->documents.emplace(entryHost, readDocument(reply));
+            state->missing.erase(entryHost);
+            if (state->missing.empty()) {
+                state->done(std::move(state->documents));
+            }
+        });
+    }
+}
+
+} // namespace parsleyglade
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -30,9 +30,9 @@
     , m_endpoints(loop, m_settings.dataCentre)
     , m_jobs(loop, m_settings, m_peers, m_claims, m_fleet, m_endpoints)
     , m_callers(loop, m_settings, m_jobs)
-    , m_admin(loop, m_settings, {m_peers, m_claims, m_configuration, m_fleet, m_endpoints, m_jobs, m_callers, [this] {
-                                     return isReady();
-                                 }})
+    , m_admin({loop, m_settings, m_peers, m_claims, m_configuration, m_fleet, m_endpoints, m_jobs, m_callers, [this] {
+                   return isReady();
+               }})
 {
     connectTasks();
 }
