Add the load generator with its test oracle

Cause: the demonstration, the process tests and the measurements need an open load whose answers can be compared with what the endpoints executed.

Change: parsleyglade-load sends jobs at random times of a fixed mean rate, measures latency from the moment a job was due, retries at once or by Retry-After, repeats keys, and holds idle connections. A process test produces each of these faults and checks that it is found.

Conclusion: the oracle finds every fault that the stand-ins can produce on purpose.

--- a/standins/standin-endpoint/main.cpp
+++ b/standins/standin-endpoint/main.cpp
@@ -55,6 +55,9 @@
         const auto colon = listen.rfind(':');
         range.ip = listen.substr(0, colon);
         range.firstPort = colon == std::string::npos ? 0 : std::stoi(listen.substr(colon + 1));
+        if (range.firstPort == 0 && range.count > 1) {
+            throw std::runtime_error("consecutive ports need a first port");
+        }
         settings.runTime = std::chrono::milliseconds{runMilliseconds};
 
         event_loop loop;
--- /dev/null
+++ b/tools/parsleyglade-load/execution_oracle.cpp
@@ -0,0 +1,90 @@
+#include "execution_oracle.h"
+
+#include <nlohmann/json.hpp>
+
+namespace parsleyglade {
+
+namespace {
+
+constexpr std::size_t maximumExamples = 20;
+constexpr int statusOk = 200;
+
+/** Room for about a million keys at one endpoint. */
+constexpr std::size_t maximumAnswerBytes = std::size_t{64} * 1024 * 1024;
+
+http_requester_settings requesterSettings(std::size_t endpoints)
+{
+    http_requester_settings settings;
+    settings.maximumConnections = endpoints;
+    settings.maximumBodyBytes = maximumAnswerBytes;
+    return settings;
+}
+
+} // namespace
+
+execution_oracle::execution_oracle(event_loop &loop, std::vector<std::string> endpoints)
+    : m_requester(loop, requesterSettings(endpoints.size()))
+    , m_endpoints(std::move(endpoints))
+{
+}
+
+void execution_oracle::check(const std::map<std::string, key_history> &histories, bool isIdempotent, std::function<void(oracle_report)> done)
+{
+    m_histories = &histories;
+    m_isIdempotent = isIdempotent;
+    m_done = std::move(done);
+    m_missing = m_endpoints.size();
+
+    for (const std::string &endpoint : m_endpoints) {
+        http_request request;
+        request.address = endpoint;
+        request.target = "/v1/executions";
+        m_requester.send(request, [this, endpoint](const http_answer &answer) {
+            const auto body = nlohmann::json::parse(answer.body, nullptr, false);
+            if (answer.status != statusOk || !body.is_object() || !body.contains("executions") || !body["executions"].is_object()) {
+                ++m_report.unreachableEndpoints;
+                m_report.examples.push_back(endpoint + " does not give its counts");
+            } else {
+                for (const auto &[key, count] : body["executions"].items()) {
+                    m_counts[key] += count.is_number_unsigned() ? count.get<std::uint64_t>() : 0;
+                }
+            }
+            if (--m_missing == 0) {
+                compare();
+            }
+        });
+    }
+}
+
+void execution_oracle::compare()
+{
+    const auto note = [this](const std::string &key, const std::string &what) {
+        if (m_report.examples.size() < maximumExamples) {
+            m_report.examples.push_back(key + ' ' + what);
+        }
+    };
+
+    for (const auto &[key, history] : *m_histories) {
+        const auto found = m_counts.find(key);
+        const std::uint64_t executions = found == m_counts.end() ? 0 : found->second;
+        ++m_report.keys;
+        m_report.executions += executions;
+
+        if (executions > 1 && !m_isIdempotent) {
+            ++m_report.executedTwice;
+            note(key, "executed " + std::to_string(executions) + " times");
+        }
+        if (executions == 0 && history.completed > 0) {
+            ++m_report.completedNotExecuted;
+            note(key, "answered completed but not executed");
+        }
+        if (executions > 0 && history.last == answer_state::not_run) {
+            ++m_report.notRunExecuted;
+            note(key, "answered not-run last but executed");
+        }
+    }
+
+    std::exchange(m_done, nullptr)(m_report);
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/tools/parsleyglade-load/load_generator.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "key_history.h"
+#include "load_settings.h"
+#include "load_totals.h"
+
+#include "platform/delayed_calls.h"
+#include "platform/http_requester.h"
+
+#include <random>
+
+namespace parsleyglade {
+
+/** Sends jobs at random times of a fixed mean rate, whether or not earlier ones have been answered. */
+class load_generator
+{
+public:
+    /** @param loop Must outlive this object. */
+    load_generator(event_loop &loop, load_settings settings);
+    load_generator(const load_generator &) = delete;
+    load_generator &operator=(const load_generator &) = delete;
+
+    /** Starts sending; calls back once every job has its last answer. */
+    void start(std::function<void()> done);
+
+    const load_totals &totals() const;
+    const std::map<std::string, key_history> &histories() const;
+
+private:
+    struct job
+    {
+        std::string key;
+        std::string body;
+        bool isLong = false;
+        time_point due;
+        int attempts = 0;
+    };
+
+    using job_pointer = std::shared_ptr<job>;
+
+    void sendDue();
+    job_pointer nextJob();
+    void attempt(const job_pointer &item);
+    void ended(const job_pointer &item, const http_answer &answer);
+    void checkBody(const job &item, const http_answer &answer);
+    bool mayRetry(const job &item, const http_answer &answer, answer_state state) const;
+    duration retryDelay(const http_answer &answer) const;
+    void finish(const job &item, const http_answer &answer, answer_state state);
+    double random();
+
+    event_loop &m_loop;
+    load_settings m_settings;
+    std::mt19937_64 m_random;
+    http_requester m_requester;
+    load_totals m_totals;
+    std::map<std::string, key_history> m_histories;
+    std::vector<job_pointer> m_recent; /**< Jobs that may be repeated. */
+    std::function<void()> m_done;
+    time_point m_started;
+    time_point m_nextDue;
+    time_point m_end;
+    std::uint64_t m_outstanding = 0;
+    bool m_isSending = false;
+    timer_subscription m_tick;
+    delayed_calls m_calls;
+};
+
+} // namespace parsleyglade
