Test at-most-once execution under faults in virtual time

RapidCheck chooses the faults: kills, freezes up to 15 s against limits of 1 to 3 s, cuts one way and both ways, cuts from the log in either direction, clock jumps of up to 7 hours, split views, waves of cancellations and retries. The oracle checks runs, answers, the final verdict of every key, that no claim stays open, and that the coordinator's digest equals the log's.

--- a/src/jobs/dispatch_ledger.h
+++ b/src/jobs/dispatch_ledger.h
@@ -65,7 +65,7 @@
 
     /**
      * With not_run: the log has not decided the key, so an earlier request with the same key may have run. The caller learns the truth by asking again with
-     * the same key. A not_run that isn't provisional holds for the key: no request with it has run the job so far.
+     * the same key. A not_run that isn't provisional holds for the key: when the request came in, no other had run the job.
      */
     bool isProvisional = false;
 
--- /dev/null
+++ b/tests/jobs/at_most_once_test.cpp
@@ -0,0 +1,76 @@
+#include "entry_node.h"
+
+#include <catch2/catch.hpp>
+#include <iostream>
+#include <rapidcheck/catch.h>
+
+using namespace parsleyglade;
+using namespace parsleyglade::testing;
+
+namespace {
+
+rc::Gen<std::vector<fault>> faultsOf(const std::vector<fault_kind> &kinds)
+{
+    const auto one = rc::gen::exec([kinds] {
+        fault item;
+        item.kind = static_cast<int>(*rc::gen::elementOf(kinds));
+        item.atPercent = *rc::gen::inRange(0, 100);
+        item.node = *rc::gen::inRange(0, job_world::nodeCount);
+        item.strength = *rc::gen::inRange(0, 100);
+        return item;
+    });
+    return rc::gen::resize(12, rc::gen::container<std::vector<fault>>(one));
+}
+
+struct fault_mix
+{
+    std::string name;
+    std::vector<fault_kind> kinds;
+};
+
+const std::vector<fault_mix> mixes{
+    {"processes killed and frozen", {fault_kind::kill, fault_kind::freeze, fault_kind::change_view}},
+    {"hosts cut off",
+     {fault_kind::cut_one_way, fault_kind::cut_both_ways, fault_kind::cut_requests_to_log, fault_kind::cut_answers_from_log, fault_kind::split_views}},
+    {"log down and trimmed", {fault_kind::log_down, fault_kind::trim, fault_kind::split_views, fault_kind::kill}},
+    {"clocks jump", {fault_kind::clock_jump, fault_kind::change_view, fault_kind::split_views, fault_kind::retry_wave}},
+    {"waves of cancellations and retries", {fault_kind::cancel_wave, fault_kind::retry_wave, fault_kind::split_views, fault_kind::freeze}},
+    {"everything",
+     {fault_kind::kill, fault_kind::freeze, fault_kind::cut_one_way, fault_kind::cut_both_ways, fault_kind::cut_requests_to_log,
+      fault_kind::cut_answers_from_log, fault_kind::log_down, fault_kind::clock_jump, fault_kind::split_views, fault_kind::change_view, fault_kind::trim,
+      fault_kind::cancel_wave, fault_kind::retry_wave}},
+};
+
+void print(const std::string &mix, const trial_counts &counts)
+{
+    std::cout << mix << ": " << counts.trials << " trials, " << counts.jobs << " jobs, " << counts.requests << " requests, " << counts.executions << " runs, "
+              << counts.faults << " faults, " << counts.records << " records; completed " << counts.answers[static_cast<int>(job_answer::completed)]
+              << ", not run " << counts.answers[static_cast<int>(job_answer::not_run)] << " (of these provisional while the key had run "
+              << counts.provisionalAfterRun << ", records full " << counts.full << "), still running "
+              << counts.answers[static_cast<int>(job_answer::still_running)] << ", outcome unknown "
+              << counts.answers[static_cast<int>(job_answer::outcome_unknown)] << ", expired " << counts.expired << std::endl;
+}
+
+} // namespace
+
+// Guards against a job that runs twice, and against answers that are not the truth, under every fault that section 2 of the design names.
+TEST_CASE("a job runs at most once and every answer is true")
+{
+    constexpr int jobsEach = 30;
+    for (const fault_mix &mix : mixes) {
+        trial_counts counts;
+        rc::prop(mix.name, [&] {
+            const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>());
+            const auto faults = *faultsOf(mix.kinds);
+            job_world world(seed, jobsEach);
+            world.run(faults, counts);
+            for (const std::string &violation : world.violations()) {
+                RC_LOG() << violation << " (trial seed " << seed << ")" << std::endl;
+            }
+            RC_ASSERT(world.violations().empty());
+        });
+        if (counts.trials > 0) {
+            print(mix.name, counts);
+        }
+    }
+}
--- /dev/null
+++ b/tests/jobs/entry_node.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "job_world.h"
+
+namespace parsleyglade::testing {
+
+/** An entry host: the real coordinator and ledger, with everything around them modelled. */
+class entry_node
+{
+public:
+    entry_node(job_world &world, int index);
+
+    /** A caller's request arrives. */
+    void submit(std::size_t request);
+
+    /** A caller's cancellation arrives. */
+    void cancel(const claim_identity &identity);
+
+    /** Runs an event in this process: later when it is frozen, never when it has been killed since. */
+    void post(duration delay, std::function<void()> event);
+
+    void kill();
+    void freeze(duration time);
+    void resume();
+    void jumpClock(std::chrono::milliseconds offset);
+    void setView(int coordinator);
+
+    /** Messages from other hosts. */
+    void receiveClaim(int from, attempt_id attempt, const wire::claim_request &request);
+    void receiveReply(attempt_id attempt, const wire::claim_reply &reply);
+    void receiveReport(int from, const wire::result_report &report);
+    void receiveHeartbeat(incarnation_id dispatcher);
+
+    /** Asks this host's coordinator for the state of a job. */
+    void query(const claim_identity &identity, std::function<void(const wire::claim_reply &)> done);
+
+    std::uint64_t life() const;
+    const dispatch_ledger &ledger() const;
+    const claim_coordinator &coordinator() const;
+
+private:
+    moment at() const;
+    void begin();
+    void perform(const coordinator_actions &actions);
+    void performAction(const append_action &action);
+    void performAction(const read_action &action);
+    void performAction(const reply_action &action);
+    void performAction(const acknowledge_action &action);
+    void scheduleWake();
+    void askCoordinator(attempt_id attempt, const wire::claim_request &request);
+    void repeatClaim(attempt_id attempt);
+    void decided(attempt_id attempt, const ledger_decision &decision, const wire::kept_answer *answer);
+    void sendJob(attempt_id attempt);
+    void contactEndpoint(attempt_id attempt);
+    void sendReports();
+    void sendHeartbeat();
+
+    job_world &m_world;
+    int m_index;
+    int m_view = 0;
+    std::uint64_t m_life = 0;
+    bool m_isFrozen = false;
+    std::vector<std::function<void()>> m_backlog;
+    std::chrono::milliseconds m_clockOffset{0};
+    incarnation_id m_incarnation{};
+    std::unique_ptr<claim_coordinator> m_coordinator;
+    std::unique_ptr<dispatch_ledger> m_ledger;
+    std::uint64_t m_nextHandle = 1;
+    std::map<reply_handle, std::function<void(const wire::claim_reply &)>> m_replies;
+    std::map<reply_handle, std::function<void(bool)>> m_acknowledgements;
+    std::map<attempt_id, std::size_t> m_requests;
+    std::optional<time_point> m_wakeAt;
+};
+
+} // namespace parsleyglade::testing
--- /dev/null
+++ b/tests/jobs/job_world.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "claim_builder.h"
+#include "jobs/jobs.h"
+#include "model_log.h"
+
+#include <array>
+#include <memory>
+#include <ostream>
+#include <set>
+
+namespace parsleyglade::testing {
+
+class entry_node;
+
+enum class fault_kind {
+    kill,
+    freeze,
+    cut_one_way,
+    cut_both_ways,
+    cut_requests_to_log,
+    cut_answers_from_log,
+    log_down,
+    clock_jump,
+    split_views,
+    change_view,
+    trim,
+    cancel_wave,
+    retry_wave,
+};
+
+/** A fault of a trial. Its numbers are scaled by the world. */
+struct fault
+{
+    int kind = 0;
+    int atPercent = 0; /**< Of the active part of the trial. */
+    int node = 0;
+    int strength = 0; /**< 0 to 99. */
+};
+
+std::ostream &operator<<(std::ostream &stream, const fault &item);
+
+/** What the trials saw, summed up. */
+struct trial_counts
+{
+    std::uint64_t trials = 0;
+    std::uint64_t jobs = 0;
+    std::uint64_t requests = 0;
+    std::uint64_t executions = 0;
+    std::uint64_t faults = 0;
+    std::array<std::uint64_t, 5> answers{}; /**< By job_answer. */
+    std::uint64_t provisionalAfterRun = 0; /**< Provisional not_run for a key that had run. */
+    std::uint64_t expired = 0;
+    std::uint64_t full = 0;
+    std::uint64_t records = 0;
+};
+
+/** A job as its caller knows it. */
+struct model_job
+{
+    claim_identity identity;
+    std::vector<attempt_id> executions;
+    std::vector<std::int64_t> fingerprints; /**< Of each execution. */
+    std::optional<time_point> ranAt;
+    int retries = 0;
+};
+
+/** A caller's request for a job. */
+struct model_request
+{
+    std::size_t job = 0;
+    std::int64_t fingerprint = 5;
+    time_point submittedAt{};
+    bool isAnswered = false;
+};
+
+/** Entry hosts, a claim stream, endpoints and callers in virtual time, with an oracle over executions and answers. */
+class job_world
+{
+public:
+    static constexpr int nodeCount = 3;
+    static constexpr duration activeTime = std::chrono::seconds{30};
+
+    job_world(std::uint64_t seed, int jobs);
+    ~job_world();
+
+    /** Runs the trial to its end, heals everything, and checks the final state. */
+    void run(const std::vector<fault> &faults, trial_counts &counts);
+
+    /** Violations of the oracle; empty when the trial passed. */
+    const std::vector<std::string> &violations() const;
+
+    // For the nodes.
+    event_queue &events();
+    trial_random &random();
+    model_log &log();
+    const coordinator_settings &settings() const;
+    const model_request &request(std::size_t number) const;
+    claim_identity identityOf(std::size_t request) const;
+    void send(int from, int to, std::function<void(entry_node &)> message);
+    void execute(attempt_id attempt, std::size_t request);
+    void answered(std::size_t request, attempt_id attempt, const ledger_decision &decision, const wire::kept_answer *answer);
+    bool canReachLog(int node) const;
+    bool canHearLog(int node) const;
+    std::string bodyOf(std::size_t request, attempt_id attempt) const;
+
+private:
+    void plan(const std::vector<fault> &faults);
+    void apply(const fault &fault);
+    void cut(int from, int to, duration time);
+    void submit(std::size_t job, int node);
+    void retry(std::size_t job);
+    void heal();
+    void checkEnd();
+    void checkVerdict(const model_job &job, const wire::claim_reply &reply);
+    void checkCompleted(std::size_t request, const wire::kept_answer *answer);
+    void violate(const model_job &job, const std::string &what);
+    wall_time wall() const;
+
+    event_queue m_events;
+    trial_random m_random;
+    model_log m_log;
+    coordinator_settings m_settings;
+    std::vector<model_job> m_jobs;
+    std::vector<model_request> m_requests;
+    std::vector<std::unique_ptr<entry_node>> m_nodes;
+    std::array<std::array<time_point, nodeCount>, nodeCount> m_cutUntil{};
+    std::array<time_point, nodeCount> m_logCutUntil{};
+    std::array<time_point, nodeCount> m_logMuteUntil{};
+    std::set<attempt_id> m_notRun;
+    std::vector<std::string> m_violations;
+    trial_counts m_counts;
+    bool m_isHealed = false;
+};
+
+} // namespace parsleyglade::testing
--- /dev/null
+++ b/tests/jobs/model_log.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "event_queue.h"
+#include "jobs/claim_fold.h"
+#include "jobs/coordinator_action.h"
+
+#include <string>
+#include <vector>
+
+namespace parsleyglade::testing {
+
+/** One stream of the platform's log with its faults. Offsets are contiguous; everything else may go wrong. */
+class model_log
+{
+public:
+    /** Chances are one in the given number; 0 means never. */
+    struct faults
+    {
+        std::uint64_t lostAnswer = 0;
+        std::uint64_t lateAppend = 0;
+        std::uint64_t duplicate = 0;
+        std::uint64_t refusal = 0;
+        std::uint64_t garbage = 0;
+        std::uint64_t staleRead = 0;
+        duration latency = std::chrono::milliseconds{4};
+    };
+
+    model_log(event_queue &events, trial_random &random)
+        : m_events(events)
+        , m_random(random)
+    {
+    }
+
+    void append(const std::string &payload, std::function<void(append_answer)> done);
+    void read(log_offset from, std::size_t maximumRecords, const std::function<void(read_answer)> &done);
+
+    /** Removes what a complete snapshot makes unneeded. */
+    void trim();
+
+    faults &settings()
+    {
+        return m_faults;
+    }
+
+    void setDown(bool isDown)
+    {
+        m_isDown = isDown;
+    }
+
+    /** A fold of every record, which no fault touches. */
+    const claim_fold &referee() const
+    {
+        return m_referee;
+    }
+
+    std::size_t size() const
+    {
+        return m_records.size();
+    }
+
+private:
+    bool happens(std::uint64_t oneIn)
+    {
+        return oneIn != 0 && m_random.oneIn(oneIn);
+    }
+
+    log_offset store(const std::string &payload);
+
+    event_queue &m_events;
+    trial_random &m_random;
+    faults m_faults;
+    std::vector<std::string> m_records;
+    log_offset m_earliest = 0;
+    claim_fold m_referee;
+    bool m_isDown = false;
+};
+
+} // namespace parsleyglade::testing
