--- a/src/placement/admission_queue.cpp
+++ b/src/placement/admission_queue.cpp
@@ -42,7 +42,7 @@
 void admission_queue::setShare(caller_id caller, double share)
 {
     assert(share > 0.0);
-    caller_state &state = m_callers[caller];
+    caller_state &state = stateOf(caller);
     for (std::size_t index = 0; index < jobClassCount; ++index) {
         if (state.waiting[index] > 0) {
             m_classes[index].activeShares += share - state.share;
@@ -64,6 +64,9 @@
     if (m_lanes[lane].isEmpty()) {
         m_drainRates[lane].started(now);
     }
+    if (m_lanes[lane].sizeOf(job.caller) == 0) {
+        stateOf(job.caller).drainRates[lane].started(now);
+    }
     count(job);
     m_locations.emplace(job.id, location{lane, m_lanes[lane].push(job, shareOf(job.caller))});
     return {};
@@ -78,6 +81,7 @@
 
     const queued_job job = m_lanes[*lane].pop();
     m_drainRates[*lane].taken(now);
+    stateOf(job.caller).drainRates[*lane].taken(now);
     m_locations.erase(job.id);
     forget(job);
     return job;
@@ -134,7 +138,14 @@
     const std::size_t own = lane.sizeOf(job.caller);
     const double competing = lane.activeShares() + (own == 0 ? share : 0.0);
     const double ahead = std::min(static_cast<double>(lane.size()), static_cast<double>(own) * competing / share);
-    return m_drainRates[index].expectedWait(ahead + 1.0, now);
+    const auto byShare = m_drainRates[index].expectedWait(ahead + 1.0, now);
+    const auto caller = m_callers.find(job.caller);
+    if (own == 0 || caller == m_callers.end()) {
+        return byShare;
+    }
+
+    // The callers that compete change faster than the queue drains, so what the caller's own jobs experienced is the better guess if it is longer.
+    return std::max(byShare, caller->second.drainRates[index].expectedWait(static_cast<double>(own) + 1.0, now));
 }
 
 std::size_t admission_queue::sizeOf(caller_id caller) const
@@ -166,6 +177,9 @@
     }
 
     const duration wait = expectedWait(job, now).value_or(duration::zero());
+    if (job.jobClass == job_class::short_job && wait > m_settings.maximumShortWait) {
+        return result_code::queue_full;
+    }
     return now + wait > latestStart(job) ? result_code::deadline_unreachable : result_code::ok;
 }
 
@@ -183,6 +197,16 @@
     return std::max<std::size_t>(static_cast<std::size_t>(limit), 1);
 }
 
+admission_queue::caller_state &admission_queue::stateOf(caller_id caller)
+{
+    const auto found = m_callers.find(caller);
+    if (found != m_callers.end()) {
+        return found->second;
+    }
+
+    return m_callers.emplace(caller, caller_state{1.0, {}, std::vector<drain_rate>(laneCount, drain_rate(m_settings.drainGain))}).first->second;
+}
+
 double admission_queue::shareOf(caller_id caller) const
 {
     const auto found = m_callers.find(caller);
@@ -233,7 +257,7 @@
 void admission_queue::count(const queued_job &job)
 {
     const std::size_t classIndex = static_cast<std::size_t>(job.jobClass);
-    caller_state &caller = m_callers[job.caller];
+    caller_state &caller = stateOf(job.caller);
     if (caller.waiting[classIndex] == 0) {
         m_classes[classIndex].activeShares += caller.share;
     }
--- a/src/placement/admission_queue.h
+++ b/src/placement/admission_queue.h
@@ -90,6 +90,7 @@
     {
         double share = 1.0;
         std::array<std::size_t, jobClassCount> waiting{};
+        std::vector<drain_rate> drainRates; /**< By lane: a caller that sends more than its share waits longer than the others. */
     };
 
     static std::size_t laneOf(urgency_class urgency, job_class jobClass);
@@ -97,6 +98,7 @@
     double placesOf(job_class jobClass, std::size_t maximum) const;
     std::size_t callerLimit(double share, job_class jobClass) const;
     void count(const queued_job &job);
+    caller_state &stateOf(caller_id caller);
     double shareOf(caller_id caller) const;
     std::optional<std::size_t> bestLane(urgency_class urgency, job_class_set free, time_point now) const;
     std::optional<std::size_t> nextLane(job_class_set free, time_point now);
--- a/tools/measure-policy/cluster_model.cpp
+++ b/tools/measure-policy/cluster_model.cpp
@@ -121,6 +121,8 @@
     switch (event.kind) {
     case event_kind::arrival:
         return arrive(event.subject);
+    case event_kind::offered_again:
+        return route(event.subject);
     case event_kind::job_finished:
         return finish(event);
     case event_kind::job_failed:
@@ -180,6 +182,12 @@
     (arriving.isLong ? m_result.offeredLong : m_result.offeredShort) += 1;
     m_result.offeredQuiet += !arriving.isLong && arriving.isInBurst && !arriving.isFromStorm ? 1 : 0;
     m_arrivals[arriving.pool] += 1;
+    route(job);
+}
+
+void cluster_model::route(std::uint32_t job)
+{
+    model_job &arriving = m_jobs[job];
     arriving.entryHost = *hostFor(arriving.pool, std::nullopt);
 
     const entry_host &host = m_hosts[arriving.entryHost];
@@ -196,10 +204,15 @@
 
 void cluster_model::admit(std::uint32_t job)
 {
-    const model_job &admitted = m_jobs[job];
-    const result_code code = m_hosts[admitted.entryHost].pools[admitted.pool]->offer(job, admitted, m_now);
-    if (code != result_code::ok) {
-        m_result.refusals[code] += 1;
+    model_job &admitted = m_jobs[job];
+    const admission_verdict verdict = m_hosts[admitted.entryHost].pools[admitted.pool]->offer(job, admitted, m_now);
+    if (!verdict.isAccepted()) {
+        m_result.refusals[verdict.code] += 1;
+        if (m_settings.callersRetry && m_now + verdict.retryAfter < admitted.deadline) {
+            admitted.isForwarded = false;
+            m_events.add(m_now + verdict.retryAfter, event_kind::offered_again, job);
+            return;
+        }
         m_open -= 1;
         return;
     }
@@ -291,7 +304,7 @@
 {
     const model_job &ended = m_jobs[job];
     entry_pool &decisions = *m_hosts[ended.entryHost].pools[ended.pool];
-    if (decisions.tryRetry(ended.isIdempotent, evidence) && decisions.offer(job, ended, m_now) == result_code::ok) {
+    if (decisions.tryRetry(ended.isIdempotent, evidence) && decisions.offer(job, ended, m_now).isAccepted()) {
         m_result.retried += 1;
     } else {
         m_result.failed += 1;
--- a/tools/measure-policy/cluster_model.h
+++ b/tools/measure-policy/cluster_model.h
@@ -50,6 +50,7 @@
     std::optional<std::uint32_t> hostFor(std::uint32_t pool, std::optional<std::uint32_t> exceptDataCentre);
 
     void arrive(std::uint32_t job);
+    void route(std::uint32_t job);
     void admit(std::uint32_t job);
     void dispatch(std::uint32_t host, std::uint32_t pool);
     void deliver(std::uint32_t job, std::uint32_t endpoint);
--- a/tools/measure-policy/entry_pool.cpp
+++ b/tools/measure-policy/entry_pool.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr duration baselineRetryTime = std::chrono::seconds{1};
+
 std::string_view routeName(std::uint32_t route)
 {
     constexpr std::array<std::string_view, 6> names{"route-0", "route-1", "route-2", "route-3", "route-urgent", "route-long"};
@@ -65,16 +67,20 @@
                        [now](const endpoint_view &view) { return !view.isLeaving() && view.hasRecentProbe(now) && !view.ejection().isEjected(now); });
 }
 
-result_code entry_pool::offer(std::uint32_t id, const model_job &job, time_point now)
+admission_verdict entry_pool::offer(std::uint32_t id, const model_job &job, time_point now)
 {
     const queued_job described = describe(id, job, now);
-    const result_code code = std::holds_alternative<fifo_line>(m_queue) ? std::get<fifo_line>(m_queue).offer(described)
-                                                                        : std::get<admission_queue>(m_queue).offer(described, now, m_random).code;
-    if (code == result_code::ok) {
+    admission_verdict verdict;
+    if (auto *queue = std::get_if<admission_queue>(&m_queue)) {
+        verdict = queue->offer(described, now, m_random);
+    } else {
+        verdict = {std::get<fifo_line>(m_queue).offer(described), baselineRetryTime};
+    }
+    if (verdict.isAccepted()) {
         m_routes[id] = job.route;
     }
 
-    return code;
+    return verdict;
 }
 
 std::vector<std::uint32_t> entry_pool::expire(time_point now)
--- a/tools/measure-policy/event_queue.h
+++ b/tools/measure-policy/event_queue.h
@@ -10,6 +10,7 @@
 
 enum class event_kind : std::uint8_t {
     arrival, /**< subject: job */
+    offered_again, /**< subject: job */
     job_finished, /**< subject: job, detail: endpoint */
     job_failed, /**< subject: job, detail: endpoint; it may have started */
     job_refused, /**< subject: job, detail: endpoint; it certainly did not start */
--- a/tools/measure-policy/workload_settings.h
+++ b/tools/measure-policy/workload_settings.h
@@ -22,6 +22,7 @@
     double declaredError = 10.0; /**< Declared run times are wrong by up to this factor in either direction. */
     std::size_t callers = 8;
     double stormShare = 0.5; /**< Share of a burst's jobs that one caller sends. */
+    bool callersRetry = false; /**< A refused job is offered again after the stated time (1 s from a baseline), until its deadline. */
     duration shortDeadline = std::chrono::seconds{10};
     duration longDeadline = std::chrono::seconds{120};
     duration leastViewDelay = std::chrono::milliseconds{100}; /**< Least age of another entry host's counts on arrival. */
