Add the property test of moves, drains and waves

Cause: overlap of two pools, spent budgets and folds that differ appear only in rare orders of freezes, restarts, racing writers and late appends.

Change: a model log with four entry hosts in two data centres drives the real fold, membership, planners and runner.

the test checks one pool for each host over all views, sent and running jobs, no use of a leaving host, the budget at each planned start, equal digests at equal positions, and at the end that every move ends.

--- /dev/null
+++ b/tests/fleet/fleet_model.cpp
@@ -0,0 +1,406 @@
+#include "fleet_model.h"
+
+#include "core/digest.h"
+#include "wire/codec.h"
+
+#include <algorithm>
+#include <set>
+#include <stdexcept>
+
+namespace parsleyglade {
+
+namespace {
+
+constexpr time_point probeTime{std::chrono::seconds(1)};
+constexpr std::size_t hostCount = 10;
+
+std::uint32_t part(std::uint32_t choice, int index)
+{
+    return (choice >> (index * 6)) & 0x3fU;
+}
+
+/** RapidCheck prefers small numbers; this makes each bit of a choice depend on all of them. */
+std::uint32_t spread(std::uint32_t choice)
+{
+    return static_cast<std::uint32_t>(hash64(std::to_string(choice)));
+}
+
+void require(bool holds, const std::string &oracle)
+{
+    if (!holds) {
+        throw std::runtime_error(oracle);
+    }
+}
+
+} // namespace
+
+fleet_model::fleet_model()
+{
+    m_tables.pools = {{"a", "a", false, 0.9, 1, 8}, {"b", "b", false, 0.9, 1, 8}, {"spare", "office", true, 0.995, 1, 8}};
+    for (std::size_t index = 0; index < hostCount; ++index) {
+        const std::string name = "h" + std::to_string(index);
+        const std::string pool = index < 2 ? "a" : index < 4 ? "b" : "spare";
+        m_tables.hosts.push_back({name, pool, "r", index % 2 == 0 ? "north" : "south", "rack-" + std::to_string(index / 2)});
+        m_health[name] = host_health::healthy;
+    }
+    m_digests.push_back(m_whole.digest());
+    m_leaving.emplace_back();
+    for (const std::string name : {"n1", "n2", "s1", "s2"}) {
+        m_entries.push_back({name, name[0] == 'n' ? "north" : "south", m_nextId++, {}, true, false, false, {}});
+    }
+}
+
+fleet_record_builder fleet_model::writer(std::int64_t incarnation)
+{
+    return fleet_record_builder(incarnation).stamp(m_nextId++, m_now);
+}
+
+void fleet_model::step(std::uint32_t choice)
+{
+    ++m_counts.steps;
+    m_now += 100;
+    act(spread(choice));
+    checkOnePool();
+    checkLeaving();
+    checkDigests();
+}
+
+void fleet_model::act(std::uint32_t choice)
+{
+    const std::uint32_t kind = part(choice, 0);
+    if (kind < 3 && !m_late.empty()) {
+        const auto late = m_late.begin() + static_cast<std::ptrdiff_t>(choice % m_late.size());
+        const wire::fleet_record record = *late;
+        m_late.erase(late);
+        write(record);
+    } else if (kind < 5 && !m_log.empty()) {
+        ++m_counts.copies;
+        const auto copy = decode<wire::fleet_record>(m_log[choice % m_log.size()]);
+        write(copy.value());
+    } else if (kind < 8) {
+        operate(choice);
+    } else if (kind < 11) {
+        finishJob(choice);
+    } else {
+        actOn(m_entries[part(choice, 1) % m_entries.size()], choice);
+    }
+}
+
+void fleet_model::operate(std::uint32_t choice)
+{
+    const fleet_host &host = m_tables.hosts[part(choice, 1) % hostCount];
+    const std::uint32_t action = part(choice, 2) % 8;
+    const auto &state = m_whole.state();
+    if (action < 2 && state.drains.size() < 3) {
+        append(writer(0).drainStarted(action == 0 ? drain_scope::host : drain_scope::rack, action == 0 ? host.name : host.rack, "operator"), choice);
+    } else if (action < 5 && !state.drains.empty()) {
+        append(writer(0).drainEnded(state.drains.begin()->first, "operator"), choice);
+    } else if (action == 5 && !m_ended.empty()) {
+        append(writer(0).retired(m_entries[choice % m_entries.size()].name, m_ended.back(), "operator"), choice);
+    } else if (action == 6) {
+        const auto plan = wave_planner({}).planCycle(m_tables, state, m_health, [](const fleet_host &) { return true; });
+        const std::string name = "w" + std::to_string(m_nextId);
+        append(writer(0).wavePlanned(name, plan.batches, 0, "operator"), 63);
+        append(writer(0).waveChanged(wire::fleet_action::wave_started, name, 1, "operator"), 63);
+    } else if (!state.waves.empty()) {
+        const auto &[name, wave] = *state.waves.rbegin();
+        append(writer(0).waveChanged(wire::fleet_action::wave_aborted, name, wave.version, "operator"), choice);
+    }
+}
+
+void fleet_model::actOn(model_entry &entry, std::uint32_t choice)
+{
+    const std::uint32_t action = part(choice, 2);
+    if (action < (entry.isFrozen ? 12U : 1U)) {
+        entry.isFrozen = !entry.isFrozen;
+        ++m_counts.freezes;
+    } else if (action == 2 && entry.isRunning) {
+        entry.isRunning = false;
+        entry.inFlight.clear();
+        m_ended.push_back(entry.incarnation);
+        ++m_counts.kills;
+    } else if (action < 24 && !entry.isRunning) {
+        restart(entry, choice % 4 != 0);
+    } else if (!entry.isRunning || entry.isFrozen) {
+        return;
+    } else if (action < 4) {
+        entry.isStopping = true;
+    } else if (action < 26) {
+        deliver(entry, 1 + part(choice, 3) % 32, part(choice, 4) % 4);
+    } else if (action < 40) {
+        answer(entry, choice);
+    } else if (action < 47) {
+        planMoves(entry, choice);
+    } else if (action < 51) {
+        runWave(entry, choice);
+    } else {
+        sendJob(entry, m_tables.hosts[part(choice, 3) % (hostCount / 2) * 2 + (entry.dataCentre == "south" ? 1 : 0)]);
+    }
+}
+
+/** Appends at once, late, twice, or never. */
+void fleet_model::append(const wire::fleet_record &record, std::uint32_t fate)
+{
+    const std::uint32_t kind = part(fate, 4);
+    if (kind < 4) {
+        return;
+    }
+    if (kind < 12) {
+        ++m_counts.late;
+        m_late.push_back(record);
+        return;
+    }
+    write(record);
+    if (kind < 16) {
+        ++m_counts.copies;
+        m_late.push_back(record);
+    }
+}
+
+void fleet_model::write(const wire::fleet_record &record)
+{
+    const fleet_state before = m_whole.state();
+    m_log.push_back(encode(record));
+    const bool counted = m_whole.apply(m_log.size() - 1, m_log.back()) == fold_step::applied;
+    if (counted) {
+        checkBudget(before, record);
+        m_counts.joins += record.action == wire::fleet_action::move_joined ? 1 : 0;
+        m_counts.drains += record.action == wire::fleet_action::drain_started ? 1 : 0;
+    }
+    m_digests.push_back(m_whole.digest());
+    auto &leaving = m_leaving.emplace_back();
+    for (const fleet_host &host : m_tables.hosts) {
+        const auto assigned = m_whole.state().hosts.find(host.name);
+        const bool moving = assigned != m_whole.state().hosts.end() && !assigned->second.toPool.empty();
+        leaving[host.name] = moving || std::any_of(m_whole.state().drains.begin(), m_whole.state().drains.end(), [&host](const auto &drain) {
+                                 return drain.second.subject == host.name || drain.second.subject == host.rack;
+                             });
+    }
+}
+
+void fleet_model::deliver(model_entry &entry, std::size_t most, std::size_t back)
+{
+    const std::size_t next = entry.fold.nextOffset();
+    const std::size_t from = next > back ? next - back : 0;
+    for (std::size_t offset = from; offset < std::min(m_log.size(), next + most); ++offset) {
+        entry.fold.apply(offset, m_log[offset]);
+    }
+}
+
+void fleet_model::restart(model_entry &entry, bool fromSnapshot)
+{
+    const std::string name = entry.name;
+    entry = {name, entry.dataCentre, m_nextId++, {}, true, false, false, {}};
+    if (fromSnapshot) {
+        write(m_whole.snapshot(incarnation_id{0}, m_nextId++, m_now));
+        entry.fold.skipTo(m_log.size() - 1);
+    }
+}
+
+/** Registers, acknowledges, joins, cancels or stops, as the entry host's own view says. */
+void fleet_model::answer(model_entry &entry, std::uint32_t fate)
+{
+    const incarnation_id self{entry.incarnation};
+    const auto known = entry.fold.state().entries.find(entry.name);
+    const std::int64_t number = known == entry.fold.state().entries.end() ? 0 : known->second.number;
+    if (entry.isStopping) {
+        if (entry.inFlight.empty()) {
+            append(writer(entry.incarnation).retired(entry.name, entry.incarnation), fate);
+            entry.isRunning = false;
+            m_ended.push_back(entry.incarnation);
+        }
+        return;
+    }
+    if (!entry.fold.mayPlace(self)) {
+        // An incarnation that was retired does not register again.
+        if (known == entry.fold.state().entries.end() || known->second.incarnation != entry.incarnation) {
+            append(writer(entry.incarnation).registered(entry.name, entry.dataCentre, "r", number), fate);
+        }
+        return;
+    }
+
+    for (const fleet_host &host : m_tables.hosts) {
+        const auto assigned = entry.fold.state().hosts.find(host.name);
+        if (assigned == entry.fold.state().hosts.end() || !assigned->second.isLeaving()) {
+            continue;
+        }
+        const auto seen = observe(entry, host.name);
+        if (membership(self, entry.dataCentre).mayAcknowledge(host, entry.fold, seen)) {
+            append(writer(entry.incarnation).moveAcknowledged(host.name, assigned->second.epoch), fate);
+        } else if (membership::mayJoin(host.name, entry.fold, seen, probeTime)) {
+            append(writer(entry.incarnation).moveJoined(host.name, assigned->second.epoch), fate);
+        }
+    }
+}
+
+void fleet_model::planMoves(model_entry &entry, std::uint32_t choice)
+{
+    std::vector<pool_wish> wishes;
+    for (int index = 0; index < 2; ++index) {
+        const std::int64_t hosts = 1 + part(choice, 3 + index) % 5;
+        wishes.push_back({index == 0 ? "a" : "b", hosts, hosts, std::nullopt, {entry.dataCentre}});
+    }
+    availability_budget budget(m_tables, entry.fold.state(), m_health);
+    const move_planner planner({6, duration::zero(), duration::zero()});
+    const wall_time now{std::chrono::milliseconds(m_now)};
+    const auto decisions = planner.plan(m_tables, entry.fold.state(), budget, wishes, now);
+    std::uint32_t fate = choice;
+    for (const auto &record : moveRecords(decisions, entry.incarnation, now, [this] { return m_nextId++; })) {
+        append(record, fate);
+        fate = fate * 2654435761U + 1;
+    }
+}
+
+void fleet_model::runWave(model_entry &entry, std::uint32_t choice)
+{
+    if (entry.fold.state().waves.empty()) {
+        return;
+    }
+    const std::string &name = entry.fold.state().waves.rbegin()->first;
+    availability_budget budget(m_tables, entry.fold.state(), m_health);
+    const wall_time now{std::chrono::milliseconds(m_now)};
+    const auto decisions = wave_runner({}).next(name, {m_tables, entry.fold.state(), m_health, m_progress, 0, now}, budget);
+    for (const auto &made : decisions) {
+        if (made.step == wave_step::maintain_host) {
+            m_progress[made.host].maintenance = maintenance_state::done;
+        }
+    }
+    std::uint32_t fate = choice;
+    for (const auto &record : waveRecords(decisions, entry.incarnation, now, [this] { return m_nextId++; })) {
+        append(record, fate);
+        fate = fate * 2654435761U + 1;
+    }
+}
+
+endpoint_observation fleet_model::observe(const model_entry &entry, const std::string &host) const
+{
+    const auto sent = entry.inFlight.find(host);
+    const auto running = std::count_if(m_jobs.begin(), m_jobs.end(), [&host](const running_job &job) { return job.endpoint == host; });
+    return {probeTime,
+            {},
+            false,
+            listed_state::live,
+            static_cast<std::uint32_t>(running),
+            sent == entry.inFlight.end() ? 0U : static_cast<std::uint32_t>(sent->second.size())};
+}
+
+host_membership fleet_model::view(const model_entry &entry, const fleet_host &host) const
+{
+    const drain_index drains(entry.fold.state());
+    return membership(incarnation_id{entry.incarnation}, entry.dataCentre).evaluateHost(host, true, entry.fold, drains, observe(entry, host.name), probeTime);
+}
+
+void fleet_model::sendJob(model_entry &entry, const fleet_host &host)
+{
+    const auto seen = view(entry, host);
+    if (!entry.isStopping && seen.isUsable()) {
+        ++m_counts.jobs;
+        entry.inFlight[host.name].push_back(seen.pool);
+        m_jobs.push_back({host.name, seen.pool, entry.incarnation});
+    }
+}
+
+void fleet_model::finishJob(std::uint32_t choice)
+{
+    if (m_jobs.empty()) {
+        return;
+    }
+    const auto job = m_jobs.begin() + static_cast<std::ptrdiff_t>(choice % m_jobs.size());
+    const auto sender = std::find_if(m_entries.begin(), m_entries.end(), [&job](const model_entry &entry) { return entry.incarnation == job->sender; });
+    if (sender != m_entries.end() && sender->isFrozen) {
+        return; // The answer waits in the socket.
+    }
+    if (sender != m_entries.end() && sender->isRunning) {
+        std::vector<std::string> &sent = sender->inFlight.at(job->endpoint);
+        sent.pop_back();
+        if (sent.empty()) {
+            sender->inFlight.erase(job->endpoint);
+        }
+    }
+    m_jobs.erase(job);
+}
+
+void fleet_model::checkOnePool() const
+{
+    for (const fleet_host &host : m_tables.hosts) {
+        std::set<std::string> pools;
+        for (const model_entry &entry : m_entries) {
+            const auto seen = view(entry, host);
+            if (entry.isRunning && !entry.isStopping && seen.isUsable()) {
+                pools.insert(seen.pool);
+            }
+            const auto sent = entry.inFlight.find(host.name);
+            if (sent != entry.inFlight.end()) {
+                pools.insert(sent->second.begin(), sent->second.end());
+            }
+        }
+        for (const running_job &job : m_jobs) {
+            if (job.endpoint == host.name) {
+                pools.insert(job.pool);
+            }
+        }
+        require(pools.size() <= 1, "host " + host.name + " is usable for two pools at once");
+    }
+}
+
+void fleet_model::checkLeaving() const
+{
+    for (const model_entry &entry : m_entries) {
+        if (entry.fold.isAwaitingSnapshot()) {
+            continue;
+        }
+        for (const fleet_host &host : m_tables.hosts) {
+            const auto &leaving = m_leaving[entry.fold.nextOffset()];
+            const auto found = leaving.find(host.name);
+            require(found == leaving.end() || !found->second || !view(entry, host).isUsable(), "host " + host.name + " is usable although it leaves");
+        }
+    }
+}
+
+void fleet_model::checkDigests() const
+{
+    for (const model_entry &entry : m_entries) {
+        require(entry.fold.isAwaitingSnapshot() || entry.fold.digest() == m_digests[entry.fold.nextOffset()], "digests differ at one position");
+    }
+}
+
+void fleet_model::checkBudget(const fleet_state &before, const wire::fleet_record &record)
+{
+    const bool startsMove = record.action == wire::fleet_action::move_started && record.fromPool != record.toPool;
+    const bool startsWaveDrain = record.action == wire::fleet_action::drain_started && record.author.starts_with("wave:");
+    if (startsMove || startsWaveDrain) {
+        ++m_counts.plannedStarts;
+        availability_budget budget(m_tables, before, m_health);
+        require(budget.takeHost(record.subject), "planned work on " + record.subject + " exceeds the budget");
+    }
+}
+
+void fleet_model::settle()
+{
+    for (; !m_late.empty(); m_late.pop_front()) {
+        write(m_late.front());
+    }
+    for (int round = 0; round < 6; ++round) {
+        for (model_entry &entry : m_entries) {
+            entry.isFrozen = false;
+        }
+        while (!m_jobs.empty()) {
+            finishJob(0);
+        }
+        for (model_entry &entry : m_entries) {
+            const auto known = entry.fold.state().entries.find(entry.name);
+            const bool retired = known != entry.fold.state().entries.end() && known->second.incarnation == entry.incarnation && !known->second.active;
+            if (!entry.isRunning || entry.isStopping || retired) {
+                restart(entry, false);
+            }
+            deliver(entry, m_log.size(), 0);
+            answer(entry, 63U << 24U);
+            checkOnePool();
+        }
+    }
+    for (const auto &[name, host] : m_whole.state().hosts) {
+        require(!host.isLeaving(), "the move of " + name + " does not end");
+    }
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/tests/fleet/fleet_model.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "fleet/fleet.h"
+#include "records/fleet_fold.h"
+#include "records/fleet_record_builder.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace parsleyglade {
+
+/** A process of an entry host: the real fold, membership and planners, at its own position in the model log. */
+struct model_entry
+{
+    std::string name;
+    std::string dataCentre;
+    std::int64_t incarnation = 0;
+    fleet_fold fold;
+    bool isRunning = true;
+    bool isFrozen = false;
+    bool isStopping = false;
+    std::map<std::string, std::vector<std::string>> inFlight; /**< Pools of the jobs sent, by endpoint. */
+};
+
+/** How often each fault happened. */
+struct model_counts
+{
+    std::size_t steps = 0;
+    std::size_t joins = 0;
+    std::size_t plannedStarts = 0;
+    std::size_t copies = 0;
+    std::size_t late = 0;
+    std::size_t kills = 0;
+    std::size_t freezes = 0;
+    std::size_t jobs = 0;
+    std::size_t drains = 0;
+};
+
+/**
+ * A log and entry hosts that step in any order and fail in any way; the oracles are checked after each step.
+ *
+ * Appends may be lost, late or doubled. Entry hosts may be frozen, killed, restarted or stopped gracefully, and read at their own
+ * pace, also records that they have read before. Operators drain and retire at any time.
+ */
+class fleet_model
+{
+public:
+    fleet_model();
+
+    /** Takes one step that the number selects, then checks every oracle. Throws std::runtime_error with the broken oracle. */
+    void step(std::uint32_t choice);
+
+    /** Heals all faults and lets all entry hosts answer. Throws when a move does not end. */
+    void settle();
+
+    const model_counts &counts() const
+    {
+        return m_counts;
+    }
+
+private:
+    struct running_job
+    {
+        std::string endpoint;
+        std::string pool;
+        std::int64_t sender = 0;
+    };
+
+    void act(std::uint32_t choice);
+    void actOn(model_entry &entry, std::uint32_t choice);
+    void operate(std::uint32_t choice);
+    void append(const wire::fleet_record &record, std::uint32_t fate);
+    void write(const wire::fleet_record &record);
+    void deliver(model_entry &entry, std::size_t most, std::size_t back);
+    void restart(model_entry &entry, bool fromSnapshot);
+    void answer(model_entry &entry, std::uint32_t fate);
+    void planMoves(model_entry &entry, std::uint32_t choice);
+    void runWave(model_entry &entry, std::uint32_t choice);
+    void sendJob(model_entry &entry, const fleet_host &host);
+    void finishJob(std::uint32_t choice);
+    host_membership view(const model_entry &entry, const fleet_host &host) const;
+    endpoint_observation observe(const model_entry &entry, const std::string &host) const;
+    fleet_record_builder writer(std::int64_t incarnation);
+
+    void checkOnePool() const;
+    void checkLeaving() const;
+    void checkDigests() const;
+    void checkBudget(const fleet_state &before, const wire::fleet_record &record);
+
+    fleet_tables m_tables;
+    fleet_health m_health;
+    wave_progress m_progress;
+    std::vector<std::string> m_log;
+    std::vector<std::string> m_digests; /**< By position. */
+    std::vector<std::map<std::string, bool>> m_leaving; /**< Hosts that a move or drain stops, by position. */
+    fleet_fold m_whole;
+    std::vector<model_entry> m_entries;
+    std::vector<std::int64_t> m_ended; /**< Incarnations whose process has ended. */
+    std::deque<wire::fleet_record> m_late;
+    std::vector<running_job> m_jobs;
+    std::int64_t m_nextId = 1000;
+    std::int64_t m_now = 1'000'000;
+    model_counts m_counts;
+};
+
+} // namespace parsleyglade
