Count the ends of jobs for burn reports

Cause: operators need to see which service spends its availability budget and on what, and the counts of one entry host must add up with those of the others.

Change: service_recorder counts each end in one of six causes in rings of 31 buckets for 5 min, 30 min, 1 h, 6 h and 3 d. Buckets are aligned to the epoch. Latencies of short, urgent and long jobs go to extended P² estimators that restart in turn every 30 min. Services, names and notes are bounded; ends of services beyond the limit count together. Ends that the caller has to correct, and repeated requests, do not count.

--- /dev/null
+++ b/src/reports/end_counts.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "reports/end_cause.h"
+
+#include <array>
+#include <numeric>
+
+namespace parsleyglade {
+
+/** Numbers of ends of jobs by cause. */
+class end_counts
+{
+public:
+    /** Adds ends of one cause. */
+    void add(end_cause cause, std::uint64_t number = 1)
+    {
+        m_counts.at(static_cast<std::size_t>(cause)) += number;
+    }
+
+    void add(const end_counts &other)
+    {
+        for (std::size_t index = 0; index < endCauseCount; ++index) {
+            m_counts.at(index) += other.m_counts.at(index);
+        }
+    }
+
+    std::uint64_t of(end_cause cause) const
+    {
+        return m_counts.at(static_cast<std::size_t>(cause));
+    }
+
+    std::uint64_t total() const
+    {
+        return std::accumulate(m_counts.begin(), m_counts.end(), std::uint64_t{0});
+    }
+
+    /** Ends that spent the budget: total() less the good ones. */
+    std::uint64_t spent() const
+    {
+        return total() - of(end_cause::good);
+    }
+
+    friend bool operator==(const end_counts &, const end_counts &) = default;
+
+private:
+    std::array<std::uint64_t, endCauseCount> m_counts{};
+};
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/reports/reports.h
@@ -0,0 +1,8 @@
+#pragma once
+
+/** Umbrella header of the reports module: counts of ends of jobs, burn reports and the metrics page. */
+
+#include "reports/burn_document.h"
+#include "reports/job_end.h"
+#include "reports/report_text.h"
+#include "reports/service_recorder.h"
--- /dev/null
+++ b/src/reports/service_recorder.cpp
@@ -0,0 +1,122 @@
+#include "reports/service_recorder.h"
+
+#include "reports/report_text.h"
+
+#include <algorithm>
+
+namespace parsleyglade {
+
+namespace {
+
+/** A name that every reader of a document takes. */
+std::string toServiceName(const std::string &name)
+{
+    return name.empty() ? std::string("(unnamed)") : cleanText(name, maximumReportNameBytes);
+}
+
+} // namespace
+
+service_recorder::service_recorder(const std::string &entryHost, incarnation_id incarnation, wall_time startedAt)
+    : m_entryHost(toServiceName(entryHost))
+    , m_incarnation(incarnation)
+    , m_startedAt(startedAt)
+{
+}
+
+void service_recorder::setObjectives(revision_number revision, const std::map<std::string, double> &objectives, wall_time now)
+{
+    m_revision = revision;
+    for (auto &[name, each] : m_services) {
+        each.objective.reset();
+    }
+    forgetUnused(now);
+
+    for (const auto &[service, objective] : objectives) {
+        const std::string name = nameOf(service);
+        if (name != otherServices) {
+            m_services[name].objective = std::clamp(objective, lowestReportObjective, highestReportObjective);
+        }
+    }
+}
+
+void service_recorder::add(const std::string &service, const job_end &end, wall_time now)
+{
+    const std::optional<end_cause> cause = classifyEnd(end);
+    if (!cause) {
+        return;
+    }
+
+    const auto found = m_services.find(service);
+    service_entry &each = found != m_services.end() ? found->second : m_services[nameOf(service)];
+    each.totals.add(*cause);
+    for (const burn_window_row &row : burnWindowTable) {
+        each.rings.at(static_cast<std::size_t>(row.window)).add(row.bucketOf(now), *cause);
+    }
+    if (end.code == result_code::ok) {
+        each.latencies.at(static_cast<std::size_t>(end.latencyClass)).add(end.latency, now);
+    }
+}
+
+void service_recorder::addNote(event_note note)
+{
+    note.at = std::max(note.at, wall_time{});
+    note.subject = cleanText(note.subject, maximumReportNameBytes);
+    note.text = cleanText(note.text, maximumReportNameBytes);
+    note.service = cleanText(note.service, maximumReportNameBytes);
+    m_notes.push_back(std::move(note));
+    if (m_notes.size() > maximumReportNotes) {
+        m_notes.pop_front();
+        ++m_notesDropped;
+    }
+}
+
+burn_document service_recorder::document(wall_time now) const
+{
+    burn_document result;
+    result.entryHost = m_entryHost;
+    result.incarnation = m_incarnation;
+    result.startedAt = m_startedAt;
+    result.takenAt = now;
+    result.revision = m_revision;
+    result.notesDropped = m_notesDropped;
+    result.notes.assign(m_notes.begin(), m_notes.end());
+
+    result.services.reserve(m_services.size());
+    for (const auto &[name, each] : m_services) {
+        service_counts counts{name, each.objective, {}, {}};
+        for (std::size_t window = 0; window < burnWindowCount; ++window) {
+            counts.windows.at(window) = each.rings.at(window).buckets();
+        }
+        for (std::size_t index = 0; index < latencyClassCount; ++index) {
+            counts.latencies.at(index) = each.latencies.at(index).quantiles(now);
+        }
+        result.services.push_back(std::move(counts));
+    }
+    return result;
+}
+
+nlohmann::json service_recorder::toJson(wall_time now) const
+{
+    return parsleyglade::toJson(document(now));
+}
+
+end_counts service_recorder::totals(const std::string &service) const
+{
+    const auto found = m_services.find(toServiceName(service));
+    return found == m_services.end() ? end_counts{} : found->second.totals;
+}
+
+std::string service_recorder::nameOf(const std::string &service) const
+{
+    std::string name = toServiceName(service);
+    const bool hasRoom = m_services.size() < maximumServices - 1; // One is reserved for the other services.
+    return hasRoom || m_services.contains(name) ? name : std::string(otherServices);
+}
+
+void service_recorder::forgetUnused(wall_time now)
+{
+    const burn_window_row &longest = burnWindowTable.back();
+    std::erase_if(m_services, [&](const auto &item) { return !item.second.objective && item.second.rings.back().isEmptyAt(longest.bucketOf(now)); });
+}
+
+} // namespace parsleyglade
