Merge counts into burn reports as text, JSON and HTML

Cause: metrics live in the memory of each entry host; a report has to gather them and say which are missing.

Change: burn_report keeps documents apart by entry host and incarnation, so order, grouping and repetition of merges do not matter. For each service the summary holds the objective, the budget left over 3 d, the burn rate of each window, the multi-window alert, the causes, and the planned changes after which more was spent than before. Quantiles cannot be merged exactly; the report gives the lowest and highest of the entry hosts, between which those of all jobs together lie.

--- /dev/null
+++ b/src/reports/burn_chart.cpp
@@ -0,0 +1,161 @@
+#include "reports/burn_chart.h"
+
+#include "reports/report_text.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace parsleyglade {
+
+namespace {
+
+// Geometry in units of the chart's own coordinates.
+constexpr double chartWidth = 460;
+constexpr double chartHeight = 176;
+constexpr double plotLeft = 44;
+constexpr double plotRight = 452;
+constexpr double plotTop = 30;
+constexpr double plotBottom = 150;
+constexpr double barShare = 0.82; /**< Width of a bar as a share of its bucket's. */
+
+/** Positions of one chart. */
+struct chart_scale
+{
+    const burn_window_row &window;
+    std::int64_t oldest;
+    double highest; /**< Value at the top of the plot. */
+    double perEnd; /**< Factor from a share of ends to the charted value. */
+
+    double x(double bucket) const
+    {
+        return plotLeft + (bucket - static_cast<double>(oldest)) * (plotRight - plotLeft) / static_cast<double>(bucketsPerWindow);
+    }
+
+    double y(double value) const
+    {
+        return plotBottom - value / highest * (plotBottom - plotTop);
+    }
+
+    /** Position of a moment within its bucket. */
+    double xOf(wall_time at) const
+    {
+        return x(static_cast<double>(at.time_since_epoch().count()) / static_cast<double>(window.bucketLength().count()));
+    }
+};
+
+std::string attribute(const char *name, double value)
+{
+    return std::string(" ") + name + "=\"" + formatNumber(value, 1) + '"';
+}
+
+std::string horizontal(double y, const char *styleClass)
+{
+    return std::string("<line class=\"") + styleClass + '"' + attribute("x1", plotLeft) + attribute("x2", plotRight) + attribute("y1", y) + attribute("y2", y)
+        + "/>";
+}
+
+std::string text(double x, double y, const char *anchor, const std::string &content)
+{
+    return "<text" + attribute("x", x) + attribute("y", y) + " text-anchor=\"" + anchor + "\">" + escapeHtml(content) + "</text>";
+}
+
+/** The least of 1, 2 and 5 times a power of ten that is at least the value. */
+double roundUp(double value)
+{
+    const double power = std::pow(10, std::floor(std::log10(value)));
+    for (const double factor : {1.0, 2.0, 5.0}) {
+        if (factor * power >= value) {
+            return factor * power;
+        }
+    }
+    return 10 * power;
+}
+
+double valueOf(std::uint64_t ends, const end_counts &counts, double perEnd)
+{
+    return counts.total() == 0 ? 0 : static_cast<double>(ends) / static_cast<double>(counts.total()) * perEnd;
+}
+
+chart_scale makeScale(const service_burn &service, const burn_window_row &window, wall_time now)
+{
+    const double perEnd = service.objective ? 1 / (1 - *service.objective) : 100;
+    double highest = service.objective ? 1 : 10; // The budget's own rate is always in sight.
+    for (const count_bucket &each : service.in(window.window).buckets) {
+        highest = std::max(highest, valueOf(each.counts.spent(), each.counts, perEnd));
+    }
+    return {window, window.bucketOf(now) - bucketsPerWindow + 1, roundUp(highest * 1.05), perEnd};
+}
+
+std::string axes(const service_burn &service, const chart_scale &scale, wall_time now)
+{
+    std::string result = horizontal(plotBottom, "axis");
+    const int digits = scale.highest >= 10 ? 0 : 1;
+    for (const double share : {0.0, 0.5, 1.0}) {
+        const double value = share * scale.highest;
+        result += text(plotLeft - 5, scale.y(value) + 4, "end", formatNumber(value, digits) + (service.objective ? "" : "%"));
+        result += share > 0 ? horizontal(scale.y(value), "grid") : "";
+    }
+
+    if (service.objective) {
+        result += horizontal(scale.y(1), "limit");
+    }
+
+    const bool showsDays = scale.window.length > std::chrono::hours(24);
+    const int parts = 3;
+    for (int part = 0; part <= parts; ++part) {
+        const wall_time at = now - scale.window.length * part / parts;
+        const std::string minute = formatMinute(at);
+        const char *anchor = part == 0 ? "end" : "middle";
+        result += text(part == 0 ? plotRight : scale.xOf(at), plotBottom + 16, anchor, showsDays ? minute.substr(5) : minute.substr(11));
+    }
+    return result;
+}
+
+std::string bars(const service_burn &service, const chart_scale &scale)
+{
+    std::string result;
+    for (const count_bucket &each : service.in(scale.window.window).buckets) {
+        double base = 0;
+        for (std::size_t index = 1; index < endCauseCount; ++index) {
+            const auto cause = static_cast<end_cause>(index);
+            const double value = valueOf(each.counts.of(cause), each.counts, scale.perEnd);
+            if (value > 0) {
+                result += "<rect class=\"" + std::string(name(cause)) + '"' + attribute("x", scale.x(static_cast<double>(each.bucket)))
+                    + attribute("width", (scale.x(1) - scale.x(0)) * barShare) + attribute("y", scale.y(base + value))
+                    + attribute("height", scale.y(base) - scale.y(base + value)) + "/>";
+            }
+            base += value;
+        }
+    }
+    return result;
+}
+
+std::string marks(const service_burn &service, const chart_scale &scale)
+{
+    std::string result;
+    double previous = -1;
+    for (std::size_t index = 0; index < service.coincidences.size(); ++index) {
+        const double x = scale.xOf(service.coincidences.at(index).note.at);
+        if (x < plotLeft || x > plotRight) {
+            continue;
+        }
+        result += "<line class=\"mark\"" + attribute("x1", x) + attribute("x2", x) + attribute("y1", plotTop - 4) + attribute("y2", plotBottom) + "/>";
+        const bool overlaps = std::abs(x - previous) < 12; // Two numbers side by side need this much room.
+        result += text(x, plotTop - (overlaps ? 18 : 7), "middle", std::to_string(index + 1));
+        previous = overlaps ? -1 : x;
+    }
+    return result;
+}
+
+} // namespace
+
+std::string renderBurnChart(const service_burn &service, burn_window window, wall_time now)
+{
+    const burn_window_row &row = describe(window);
+    const chart_scale scale = makeScale(service, row, now);
+    const std::string label = std::string(service.objective ? "Burn rate" : "Share not good") + " of " + service.service + " over " + std::string(row.name);
+    return "<svg role=\"img\" viewBox=\"0 0 " + formatNumber(chartWidth, 0) + ' ' + formatNumber(chartHeight, 0) + "\" aria-label=\"" + escapeHtml(label)
+        + "\">" + axes(service, scale, now) + bars(service, scale) + marks(service, scale) + "</svg>";
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/reports/burn_report.cpp
@@ -0,0 +1,139 @@
+#include "reports/burn_report.h"
+
+#include "reports/summarise_service.h"
+
+#include <algorithm>
+#include <set>
+
+namespace parsleyglade {
+
+namespace {
+
+/** Notes of one event that entry hosts saw at different times lie at most so far apart. */
+constexpr std::chrono::seconds sameEventSpan{60};
+
+/** Whether the first document counts instead of the second, which is of the same process. The text decides between equal times. */
+bool isNewer(const burn_document &left, const burn_document &right)
+{
+    return left.takenAt != right.takenAt ? left.takenAt > right.takenAt : toJson(left).dump() > toJson(right).dump();
+}
+
+/** The notes of all entry hosts, each event once. */
+std::vector<event_note> mergeNotes(const std::set<event_note> &notes)
+{
+    std::vector<event_note> result;
+    for (const event_note &note : notes) {
+        const bool isKnown = std::any_of(result.rbegin(), result.rend(), [&note](const event_note &other) {
+            return note.at - other.at <= sameEventSpan && note.kind == other.kind && note.subject == other.subject && note.text == other.text
+                && note.service == other.service;
+        });
+        if (!isKnown) {
+            result.push_back(note);
+        }
+    }
+    return result;
+}
+
+/** Alerts first, then by the share of the budget that is left. */
+bool needsAttentionBefore(const service_burn &left, const service_burn &right)
+{
+    const auto key = [](const service_burn &each) {
+        return std::make_tuple(-static_cast<int>(each.alert), each.leftShare.value_or(2.0), std::cref(each.service));
+    };
+    return key(left) < key(right);
+}
+
+} // namespace
+
+void burn_report::add(burn_document document)
+{
+    const std::pair key{document.entryHost, document.incarnation};
+    const auto found = m_documents.find(key);
+    if (found == m_documents.end()) {
+        m_documents.emplace(key, std::move(document));
+    } else if (isNewer(document, found->second)) {
+        found->second = std::move(document);
+    }
+}
+
+std::vector<failure> burn_report::addText(const std::string &entryHost, std::string_view text)
+{
+    outcome<burn_document> document = parseBurnDocument(text);
+    if (!document) {
+        addMissing(entryHost, "its document was not valid: " + document.lastReason().reason);
+        return document.failures();
+    }
+
+    if (document->entryHost != entryHost) {
+        failure reason{result_code::invalid_value, "its document names another entry host: " + document->entryHost, "/entryHost"};
+        addMissing(entryHost, reason.reason);
+        return {reason};
+    }
+
+    add(std::move(*document));
+    return {};
+}
+
+void burn_report::addMissing(const std::string &entryHost, const std::string &reason)
+{
+    const auto [found, isNew] = m_missing.emplace(entryHost, reason);
+    if (!isNew) {
+        found->second = std::min(found->second, reason); // Independent of the order of merges.
+    }
+}
+
+void burn_report::merge(const burn_report &other)
+{
+    for (const auto &[key, document] : other.m_documents) {
+        add(document);
+    }
+    for (const auto &[entryHost, reason] : other.m_missing) {
+        addMissing(entryHost, reason);
+    }
+}
+
+burn_summary burn_report::summary(wall_time now) const
+{
+    burn_summary result;
+    result.at = now;
+    std::set<std::string> answered;
+    std::set<event_note> notes;
+    std::map<std::string, std::vector<const service_counts *>> services;
+    for (const auto &[key, document] : m_documents) {
+        answered.insert(document.entryHost);
+        result.sources.push_back({document.entryHost, document.incarnation, document.startedAt, document.takenAt, document.revision});
+        result.revision = std::max(result.revision, document.revision);
+        result.notesDropped += document.notesDropped;
+        notes.insert(document.notes.begin(), document.notes.end());
+        for (const service_counts &each : document.services) {
+            services[each.service].push_back(&each);
+        }
+    }
+
+    for (const auto &[entryHost, reason] : m_missing) {
+        if (!answered.contains(entryHost)) {
+            result.missing.push_back({entryHost, reason});
+        }
+    }
+
+    std::map<std::string, double> objectives;
+    for (const auto &[key, document] : m_documents) {
+        for (const service_counts &each : document.services) {
+            if (document.revision == result.revision && each.objective) {
+                double &objective = objectives[each.service];
+                objective = std::max(objective, *each.objective);
+            }
+        }
+    }
+
+    result.notes = mergeNotes(notes);
+    for (const auto &[service, parts] : services) {
+        const auto objective = objectives.find(service);
+        result.services.push_back(
+            summariseService(service, parts, objective == objectives.end() ? std::nullopt : std::optional(objective->second), result.notes, now));
+    }
+    std::sort(result.services.begin(), result.services.end(), needsAttentionBefore);
+    return result;
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/reports/render_text.cpp
@@ -0,0 +1,162 @@
+#include "reports/burn_summary.h"
+#include "reports/report_text.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace parsleyglade {
+
+namespace {
+
+constexpr std::size_t lineColumns = 100;
+constexpr std::size_t serviceColumns = 22;
+constexpr std::size_t rateColumns = 7;
+constexpr int barColumns = 12;
+
+std::string alignRight(const std::string &text, std::size_t columns)
+{
+    return text.size() < columns ? std::string(columns - text.size(), ' ') + text : text;
+}
+
+/** One line, cut to the width of the page. */
+std::string line(const std::string &text)
+{
+    std::string result = fitColumns(text, lineColumns);
+    result.resize(result.find_last_not_of(' ') + 1);
+    return result + '\n';
+}
+
+/** A share of the budget as a bar; an overspent budget is empty. */
+std::string bar(double share)
+{
+    const int filled = static_cast<int>(std::lround(std::clamp(share, 0.0, 1.0) * barColumns));
+    return '[' + std::string(static_cast<std::size_t>(filled), '#') + std::string(static_cast<std::size_t>(barColumns - filled), '.') + ']';
+}
+
+std::string percent(double share, int digits)
+{
+    return formatNumber(std::max(share, -9.99) * 100, digits) + " %";
+}
+
+std::string rateText(const std::optional<double> &rate)
+{
+    return rate ? formatNumber(*rate, *rate < 100 ? 1 : 0) : "-";
+}
+
+std::string spentText(const end_counts &counts)
+{
+    std::string result;
+    for (std::size_t index = 1; index < endCauseCount; ++index) {
+        const auto cause = static_cast<end_cause>(index);
+        if (counts.of(cause) > 0) {
+            result += (result.empty() ? "" : ", ") + std::string(name(cause)) + ' ' + std::to_string(counts.of(cause));
+        }
+    }
+    return result.empty() ? "nothing" : result;
+}
+
+std::string header(const burn_summary &summary)
+{
+    std::set<std::string> answered;
+    for (const burn_summary::source &each : summary.sources) {
+        answered.insert(each.entryHost);
+    }
+    std::string result = line("Burn report at " + formatMinute(summary.at) + " UTC, configuration revision " + std::to_string(summary.revision) + ", from "
+                              + std::to_string(answered.size()) + " of " + std::to_string(answered.size() + summary.missing.size()) + " entry hosts");
+    for (const burn_summary::missing_source &each : summary.missing) {
+        result += line("MISSING " + each.entryHost + ": " + each.reason);
+    }
+    for (const burn_summary::source &each : summary.sources) {
+        if (summary.at - each.startedAt < describe(burn_window::three_days).length) {
+            result += line("  " + each.entryHost + " counts since " + formatMinute(each.startedAt) + " UTC; earlier counts of this host are lost");
+        }
+    }
+    return result;
+}
+
+std::string columnTitles()
+{
+    std::string result = fitColumns("service", serviceColumns) + ' ' + alignRight("objective", 9) + "  " + fitColumns("budget left (3d)", barColumns + 11);
+    for (const burn_window_row &row : burnWindowTable) {
+        result += alignRight(std::string(row.name), rateColumns);
+    }
+    return line(result + "  alert");
+}
+
+std::string serviceLine(const service_burn &service)
+{
+    std::string result = fitColumns(service.service, serviceColumns) + ' ';
+    result += alignRight(service.objective ? percent(*service.objective, 3) : "none", 9) + "  ";
+    result += service.leftShare ? bar(*service.leftShare) + alignRight(percent(*service.leftShare, 1), 9) : fitColumns("", barColumns + 11);
+    for (const window_burn &each : service.windows) {
+        result += alignRight(rateText(each.burnRate), rateColumns);
+    }
+    return line(result + "  " + (service.alert == alert_state::none ? "" : std::string(name(service.alert))));
+}
+
+std::string budgetLine(const service_burn &service)
+{
+    const end_counts &counts = service.in(burn_window::three_days).counts;
+    std::string result = "    3d: " + std::to_string(counts.total()) + " ended, " + std::to_string(counts.spent()) + " spent";
+    if (service.allowedJobs) {
+        result += " of " + formatNumber(*service.allowedJobs, 1) + " allowed";
+    }
+    return line(result + ": " + spentText(counts));
+}
+
+std::string latencyLine(const service_burn &service, std::size_t index)
+{
+    const latency_range &range = service.latencies.at(index);
+    if (range.count == 0) {
+        return {};
+    }
+
+    std::string result = "    " + std::string(name(static_cast<latency_class>(index))) + " jobs, ms:";
+    for (std::size_t quantile = 0; quantile < latencyProbabilities.size(); ++quantile) {
+        result += ' ' + std::string(latencyQuantileNames.at(quantile)) + ' '
+            + formatRange(range.lowest.milliseconds.at(quantile), range.highest.milliseconds.at(quantile), "..");
+    }
+    return line(result + " (" + std::to_string(range.count) + " jobs)");
+}
+
+std::string coincidenceLine(const burn_coincidence &each)
+{
+    const event_note &note = each.note;
+    return line("    " + formatMinute(note.at) + ' ' + std::string(name(note.kind)) + ' ' + note.subject + ' ' + note.text + ": "
+                + std::to_string(each.spentAfter) + " spent after, " + std::to_string(each.spentBefore) + " before");
+}
+
+std::string serviceBlock(const service_burn &service)
+{
+    std::string result = serviceLine(service);
+    if (service.in(burn_window::three_days).counts.total() > 0) {
+        result += budgetLine(service);
+    }
+    for (std::size_t index = 0; index < latencyClassCount; ++index) {
+        result += latencyLine(service, index);
+    }
+    for (const burn_coincidence &each : service.coincidences) {
+        result += coincidenceLine(each);
+    }
+    return result;
+}
+
+} // namespace
+
+std::string renderText(const burn_summary &summary)
+{
+    std::string result = header(summary) + '\n' + columnTitles();
+    for (const service_burn &each : summary.services) {
+        result += serviceBlock(each);
+    }
+    if (summary.services.empty()) {
+        result += line("no services are known");
+    }
+    if (summary.notesDropped > 0) {
+        result += line("entry hosts dropped " + std::to_string(summary.notesDropped) + " notes of older planned changes");
+    }
+    return result;
+}
+
+} // namespace parsleyglade
--- a/src/reports/reports.h
+++ b/src/reports/reports.h
@@ -3,6 +3,8 @@
 /** Umbrella header of the reports module: counts of ends of jobs, burn reports and the metrics page. */
 
 #include "reports/burn_document.h"
+#include "reports/burn_report.h"
+#include "reports/burn_summary.h"
 #include "reports/job_end.h"
 #include "reports/report_text.h"
 #include "reports/service_recorder.h"
