--- /dev/null
+++ b/tests/reports/hostile_input_test.cpp
@@ -0,0 +1,146 @@
+#include "random_events.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+#include <sstream>
+
+using namespace parsleyglade;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string hostileName = "a\"b'c<script>alert(1)</script>&\n\r\x1b[31m\xff\\}";
+
+std::string validDocument(std::mt19937_64 &random)
+{
+    service_recorder recorder("entry-1", incarnation_id{5}, testStart);
+    recorder.setObjectives(3, {{"service-0", 0.99}}, testStart);
+    recorder.addNote({testStart, event_kind::wave, "wave-1", "started", {}});
+    for (const recorded_end &each : randomEnds(random, 1, 12)) {
+        recorder.add(each.service, each.end, each.at);
+    }
+    return recorder.toJson(testStart + 1h).dump();
+}
+
+/** Replaces one random value of the document by a value of another kind or size. */
+void mutateValue(nlohmann::json &value, std::mt19937_64 &random)
+{
+    if (value.is_structured() && !value.empty() && random() % 6 != 0) {
+        mutateValue(*std::next(value.begin(), static_cast<std::ptrdiff_t>(random() % value.size())), random);
+        return;
+    }
+    static const std::array<nlohmann::json, 9> replacements{
+        nullptr, -1, 1e300, 18'446'744'073'709'551'615U, "", "text\n", nlohmann::json::array(), nlohmann::json::object(), true};
+    value = replacements.at(random() % replacements.size());
+}
+
+std::size_t count(const std::string &text, const std::string &part)
+{
+    std::size_t result = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+        ++result;
+    }
+    return result;
+}
+
+} // namespace
+
+// Guards against a damaged document that ends the process, and against one that is taken although it says nothing of sense.
+TEST_CASE("random and mutated documents give an error and never throw")
+{
+    rc::prop("for mutated bytes", [](std::uint64_t seed) {
+        std::mt19937_64 random(seed);
+        std::string text = validDocument(random);
+        for (std::uint64_t change = random() % 4; change < 4; ++change) {
+            const std::size_t at = random() % text.size();
+            switch (random() % 3) {
+            case 0:
+                text.at(at) = static_cast<char>(random());
+                break;
+            case 1:
+                text.erase(at, random() % 20);
+                break;
+            default:
+                text.insert(at, text.substr(random() % text.size(), random() % 20));
+            }
+        }
+        burn_report report;
+        const auto failures = report.addText("entry-1", text);
+        const burn_summary summary = report.summary(testStart + 1h);
+        RC_ASSERT(failures.empty() == summary.missing.empty());
+        RC_ASSERT(!renderText(summary).empty() && !renderJson(summary).empty() && !renderHtml(summary).empty());
+    });
+    rc::prop("for mutated values", [](std::uint64_t seed) {
+        std::mt19937_64 random(seed);
+        nlohmann::json document = nlohmann::json::parse(validDocument(random));
+        const nlohmann::json before = document;
+        mutateValue(document, random);
+        const auto parsed = parseBurnDocument(document.dump());
+        const bool isTakenAsItIs = !parsed || toJson(*parsed) == document;
+        RC_ASSERT(isTakenAsItIs);
+    });
+    rc::prop("for random bytes", [](const std::string &text) { RC_ASSERT(!parseBurnDocument(text)); });
+}
+
+// Guards against markup and terminal sequences that a name smuggles into a page.
+TEST_CASE("hostile names are escaped in every rendering")
+{
+    burn_summary summary;
+    summary.at = testStart;
+    summary.missing.push_back({hostileName, hostileName});
+    summary.sources.push_back({hostileName, incarnation_id{1}, testStart, testStart, 1});
+    service_burn service;
+    service.service = hostileName;
+    service.windows.back().counts.add(end_cause::failed, 3);
+    service.coincidences.push_back({{testStart, event_kind::wave, hostileName, hostileName, {}}, 0, 3, 1min});
+    summary.services.push_back(service);
+
+    const std::string html = renderHtml(summary);
+    CHECK(count(html, "<script") == 0);
+    CHECK(count(html, "&lt;script&gt;") >= 7);
+    CHECK(count(html, "a\"b") == 0);
+    CHECK(count(html, "b'c") == 0);
+    CHECK(count(html, "\x1b") + count(html, "\xff") == 0);
+    CHECK(nlohmann::json::parse(renderJson(summary)).at("services").size() == 1);
+
+    std::istringstream lines(renderText(summary));
+    for (std::string line; std::getline(lines, line);) {
+        CHECK(line.size() <= 110); // 100 columns, of which the replacement of a byte takes three bytes.
+        CHECK(count(line, "\x1b") + count(line, "\r") == 0);
+    }
+
+    service_recorder recorder(hostileName, incarnation_id{1}, testStart);
+    recorder.add(hostileName, {}, testStart);
+    recorder.add(std::string(500, '\xe1'), {}, testStart);
+    recorder.add("", {}, testStart);
+    recorder.addNote({testStart, event_kind::wave, hostileName, hostileName, hostileName});
+    const auto parsed = parseBurnDocument(recorder.toJson(testStart).dump());
+    REQUIRE(parsed.hasValue());
+    CHECK(parsed->services.size() == 3);
+}
+
+// Guards against a label value that ends its line or its quotes and so forges other metrics.
+TEST_CASE("the metrics page follows the exposition format")
+{
+    const std::vector<metric> metrics{
+        {"jobs_total", "Jobs\nand \\ more.", {{{{"service", hostileName}, {"a-b", "x"}}, counter_value{3}}, {{}, gauge_value{9}}}},
+        {"9 bad\"name", "Help.", {{{}, gauge_value{0.1}}, {{{"quantile", "1"}}, gauge_value{-std::numeric_limits<double>::infinity()}}}},
+        {"wait_seconds", "Waits.", {{{{"class", "short"}}, summary_value{{{0.5, 1}, {0.999, 2.5}}, 4, 6}}}},
+        {"jobs_total", "Again.", {{{}, counter_value{1}}}},
+        {"empty", "No samples.", {}},
+    };
+    CHECK(renderMetrics(metrics)
+          == "# HELP jobs_total Jobs\\nand \\\\ more.\n"
+             "# TYPE jobs_total counter\n"
+             "jobs_total{a_b=\"x\",service=\"a\\\"b'c<script>alert(1)</script>&\\n \x1b[31m\xef\xbf\xbd\\\\}\"} 3.0\n"
+             "# HELP __bad_name Help.\n"
+             "# TYPE __bad_name gauge\n"
+             "__bad_name 0.1\n"
+             "__bad_name{quantile=\"1\"} -Inf\n"
+             "# HELP wait_seconds Waits.\n"
+             "# TYPE wait_seconds summary\n"
+             "wait_seconds{class=\"short\",quantile=\"0.5\"} 1.0\n"
+             "wait_seconds{class=\"short\",quantile=\"0.999\"} 2.5\n"
+             "wait_seconds_sum{class=\"short\"} 6.0\n"
+             "wait_seconds_count{class=\"short\"} 4\n");
+}
