Make the burn report readable and its figures whole

Cause: the page was looked at in a browser, light, dark, narrow (420 px) and with the print rules, and the text at 100 columns. In the text a long line was cut at the edge, so "maintenance 113" read as "maintenance 1". Every note with one more bad end after than before was listed as a coincidence. On the page percentages broke from their bars, numbers of marks covered each other, the dashed line had no explanation, the latency table lost its last column or broke its ranges when printed, and a narrow page broke names letter by letter.

Change: long text lines wrap; names that are cut end in ~; shares below -999 % are shown as such. A change is listed only if the rise exceeds twice the standard deviation of random ends. Marks that lie close together share one list of numbers, charts round their scale to 1, 2, 3 or 5, the caption explains the line, the tables stand side by side on a screen and below each other in print, and wide tables scroll on a narrow page.

--- a/src/reports/burn_chart.cpp
+++ b/src/reports/burn_chart.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 
 namespace parsleyglade {
 
@@ -17,6 +18,7 @@
 constexpr double plotTop = 30;
 constexpr double plotBottom = 150;
 constexpr double barShare = 0.82; /**< Width of a bar as a share of its bucket's. */
+constexpr double markDistance = 14; /**< Two numbers side by side need this much room. */
 
 /** Positions of one chart. */
 struct chart_scale
@@ -59,11 +61,11 @@
     return "<text" + attribute("x", x) + attribute("y", y) + " text-anchor=\"" + anchor + "\">" + escapeHtml(content) + "</text>";
 }
 
-/** The least of 1, 2 and 5 times a power of ten that is at least the value. */
+/** The least of 1, 2, 3 and 5 times a power of ten that is at least the value. */
 double roundUp(double value)
 {
     const double power = std::pow(10, std::floor(std::log10(value)));
-    for (const double factor : {1.0, 2.0, 5.0}) {
+    for (const double factor : {1.0, 2.0, 3.0, 5.0}) {
         if (factor * power >= value) {
             return factor * power;
         }
@@ -130,23 +132,37 @@
     return result;
 }
 
-std::string marks(const service_burn &service, const chart_scale &scale)
+/** Positions of the coincidences within the plot, with their numbers. */
+std::multimap<double, std::string> findMarks(const service_burn &service, const chart_scale &scale)
 {
-    std::string result;
-    double previous = -1;
+    std::multimap<double, std::string> result;
     for (std::size_t index = 0; index < service.coincidences.size(); ++index) {
         const double x = scale.xOf(service.coincidences.at(index).note.at);
-        if (x < plotLeft || x > plotRight) {
-            continue;
+        if (x >= plotLeft && x <= plotRight) {
+            result.emplace(x, std::to_string(index + 1));
         }
-        result += "<line class=\"mark\"" + attribute("x1", x) + attribute("x2", x) + attribute("y1", plotTop - 4) + attribute("y2", plotBottom) + "/>";
-        const bool overlaps = std::abs(x - previous) < 12; // Two numbers side by side need this much room.
-        result += text(x, plotTop - (overlaps ? 18 : 7), "middle", std::to_string(index + 1));
-        previous = overlaps ? -1 : x;
     }
     return result;
 }
 
+/** A line for each coincidence; those close together share one list of numbers. */
+std::string marks(const service_burn &service, const chart_scale &scale)
+{
+    std::string result;
+    std::string numbers;
+    double first = 0;
+    for (const auto &[x, number] : findMarks(service, scale)) {
+        if (!numbers.empty() && x - first > markDistance) {
+            result += text(first, plotTop - 7, "middle", numbers);
+            numbers.clear();
+        }
+        first = numbers.empty() ? x : first;
+        numbers.append(numbers.empty() ? "" : ",").append(number);
+        result += "<line class=\"mark\"" + attribute("x1", x) + attribute("x2", x) + attribute("y1", plotTop - 4) + attribute("y2", plotBottom) + "/>";
+    }
+    return numbers.empty() ? result : result + text(first, plotTop - 7, "middle", numbers);
+}
+
 } // namespace
 
 std::string renderBurnChart(const service_burn &service, burn_window window, wall_time now)
--- a/src/reports/event_note.h
+++ b/src/reports/event_note.h
@@ -26,7 +26,7 @@
 {
     wall_time at{}; /**< The record's own time where it has one, so that the notes of all entry hosts agree. */
     event_kind kind = event_kind::wave;
-    std::string subject; /**< The wave, host, drain or revision. */
+    std::string subject; /**< The wave, host, drain or number of the revision, without the kind. */
     std::string text; /**< What happened to it, such as "started". */
     std::string service; /**< The only service that it concerns; empty when it may concern any. */
 
--- a/src/reports/render_html.cpp
+++ b/src/reports/render_html.cpp
@@ -24,10 +24,10 @@
     return formatNumber(share * 100, digits) + " %";
 }
 
-std::string alertText(const service_burn &service)
+std::string alertText(const service_burn &service, const std::string &title)
 {
     const std::string state(name(service.alert));
-    return service.alert == alert_state::none ? "" : "<span class=\"" + state + "\">" + state + "</span>";
+    return service.alert == alert_state::none ? "" : "<span class=\"" + state + "\">" + title + state + "</span>";
 }
 
 /** The share of the budget that is left, as a bar and in figures. */
@@ -37,8 +37,9 @@
         return cell("–");
     }
     const double width = std::clamp(*service.leftShare, 0.0, 1.0) * 100;
-    return cell("<svg class=\"bar\" viewBox=\"0 0 100 12\" preserveAspectRatio=\"none\" aria-hidden=\"true\"><rect class=\"left\" width=\""
-                + formatNumber(width, 1) + "\" height=\"12\"/><rect class=\"frame\" width=\"100\" height=\"12\"/></svg> " + percent(*service.leftShare, 1));
+    return cell("<span class=\"bars\"><svg class=\"bar\" viewBox=\"0 0 100 12\" preserveAspectRatio=\"none\" aria-hidden=\"true\"><rect class=\"left\" width=\""
+                + formatNumber(width, 1) + "\" height=\"12\"/><rect class=\"frame\" width=\"100\" height=\"12\"/></svg> " + percent(*service.leftShare, 1)
+                + "</span>");
 }
 
 std::string header(const burn_summary &summary)
@@ -57,12 +58,12 @@
     for (const window_burn &each : service.windows) {
         result += cell(rateText(each.burnRate));
     }
-    return result + cell(alertText(service)) + "</tr>\n";
+    return result + cell(alertText(service, "")) + "</tr>\n";
 }
 
 std::string overview(const burn_summary &summary)
 {
-    std::string result = "<table><thead><tr><th>Service</th><th>Objective</th><th>Budget left, 3d</th>";
+    std::string result = "<div class=\"overview\"><table><thead><tr><th>Service</th><th>Objective</th><th>Budget left, 3d</th>";
     for (const burn_window_row &row : burnWindowTable) {
         result += "<th>Burn " + std::string(row.name) + "</th>";
     }
@@ -70,15 +71,17 @@
     for (const service_burn &each : summary.services) {
         result += overviewRow(each);
     }
-    return result + "</tbody></table>\n";
+    return result + "</tbody></table></div>\n";
 }
 
 std::string charts(const service_burn &service, wall_time at)
 {
-    std::string result = "<div class=\"charts\">";
+    std::string result = "<div class=\"columns\">";
     for (const burn_window window : {burn_window::six_hours, burn_window::three_days}) {
-        const std::string caption = service.objective ? "Burn rate, " : "Share of ends that were not good, ";
-        result += "<figure><figcaption>" + caption + std::string(describe(window).name) + "</figcaption>" + renderBurnChart(service, window, at) + "</figure>";
+        const std::string length(describe(window).name);
+        const std::string caption = service.objective ? "Burn rate over " + length + "; dashed: 1, which spends exactly the budget"
+                                                      : "Share of ends that were not good over " + length;
+        result.append("<figure><figcaption>").append(caption).append("</figcaption>").append(renderBurnChart(service, window, at)).append("</figure>");
     }
     return result + "</div>";
 }
@@ -134,7 +137,7 @@
         return {};
     }
 
-    std::string result = "<p>Planned changes after which more was spent than before:</p><ol>";
+    std::string result = "<p>Planned changes after which more was spent than before, as numbered in the charts (UTC):</p><ol>";
     for (const burn_coincidence &each : service.coincidences) {
         result += "<li>" + formatMinute(each.note.at) + ' ' + std::string(name(each.note.kind)) + " <b>" + escapeHtml(each.note.subject) + "</b> "
             + escapeHtml(each.note.text) + ": " + std::to_string(each.spentAfter) + " spent after, " + std::to_string(each.spentBefore) + " before</li>";
@@ -144,23 +147,25 @@
 
 std::string section(const service_burn &service, wall_time at)
 {
-    std::string result = "<section><h2>" + escapeHtml(service.service) + ' ' + alertText(service) + "</h2>";
+    std::string result = "<section><h2>" + escapeHtml(service.service) + ' ' + alertText(service, "alert: ") + "</h2>";
     if (service.allowedJobs) {
         result += "<p>" + std::to_string(service.in(burn_window::three_days).counts.spent()) + " of " + formatNumber(*service.allowedJobs, 1)
             + " allowed ends spent in 3 days.</p>";
     }
-    return result + charts(service, at) + spentTable(service) + latencyTable(service) + coincidences(service) + "</section>\n";
+    result += charts(service, at) + "<div class=\"figures\"><div>" + spentTable(service) + "</div><div>" + latencyTable(service) + "</div></div>";
+    return result + coincidences(service) + "</section>\n";
 }
 
 std::string sources(const burn_summary &summary)
 {
-    std::string result = "<section><h2>Entry hosts</h2><table><thead><tr><th>Entry host</th><th>counts since (UTC)</th><th>asked at (UTC)</th>"
-                         "<th>revision</th></tr></thead><tbody>";
+    std::string result
+        = "<section><h2>Entry hosts</h2><div class=\"overview\"><table><thead><tr><th>Entry host</th><th>counts since (UTC)</th><th>asked at (UTC)</th>"
+          "<th>revision</th></tr></thead><tbody>";
     for (const burn_summary::source &each : summary.sources) {
         result += "<tr>" + cell(escapeHtml(each.entryHost)) + cell(formatMinute(each.startedAt)) + cell(formatMinute(each.takenAt))
             + cell(std::to_string(each.revision)) + "</tr>";
     }
-    result += "</tbody></table><p class=\"weak\">Counts are kept in memory; what an entry host counted before its start is lost. "
+    result += "</tbody></table></div><p class=\"weak\">Counts are kept in memory; what an entry host counted before its start is lost. "
               "Latencies are of the last 30 to 60 minutes and are given from the lowest to the highest of an entry host.</p>";
     if (summary.notesDropped > 0) {
         result += "<p class=\"weak\">Entry hosts dropped " + std::to_string(summary.notesDropped) + " notes of older planned changes.</p>";
--- a/src/reports/render_text.cpp
+++ b/src/reports/render_text.cpp
@@ -19,12 +19,11 @@
     return text.size() < columns ? std::string(columns - text.size(), ' ') + text : text;
 }
 
-/** One line, cut to the width of the page. */
-std::string line(const std::string &text)
+/** One entry, in further indented lines where it is longer than the page is wide: a cut figure would be read as another figure. */
+std::string line(std::string text)
 {
-    std::string result = fitColumns(text, lineColumns);
-    result.resize(result.find_last_not_of(' ') + 1);
-    return result + '\n';
+    text.resize(text.find_last_not_of(' ') + 1);
+    return wrapLines(text, lineColumns, 8);
 }
 
 /** A share of the budget as a bar; an overspent budget is empty. */
@@ -36,7 +35,7 @@
 
 std::string percent(double share, int digits)
 {
-    return formatNumber(std::max(share, -9.99) * 100, digits) + " %";
+    return share < -9.99 ? "< -999 %" : formatNumber(share * 100, digits) + " %"; // Further digits would not fit the column.
 }
 
 std::string rateText(const std::optional<double> &rate)
@@ -102,7 +101,7 @@
     if (service.allowedJobs) {
         result += " of " + formatNumber(*service.allowedJobs, 1) + " allowed";
     }
-    return line(result + ": " + spentText(counts));
+    return line(result) + line("    spent by: " + spentText(counts));
 }
 
 std::string latencyLine(const service_burn &service, std::size_t index)
--- a/src/reports/report_text.cpp
+++ b/src/reports/report_text.cpp
@@ -2,7 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
+#include <cassert>
 #include <cstdio>
 
 namespace parsleyglade {
@@ -20,6 +22,21 @@
     return value < 0x20 || value == 0x7f;
 }
 
+std::size_t countColumns(std::string_view text)
+{
+    return static_cast<std::size_t>(std::count_if(text.begin(), text.end(), [](char character) { return !isContinuation(character); }));
+}
+
+/** Position after so many code points of valid UTF-8. @pre the text has at least as many */
+std::size_t endOfColumn(std::string_view text, std::size_t columns)
+{
+    std::size_t end = 0;
+    for (; end < text.size() && (columns > 0 || isContinuation(text[end])); ++end) {
+        columns -= isContinuation(text[end]) ? 0 : 1;
+    }
+    return end;
+}
+
 /** The text with invalid UTF-8 replaced. */
 std::string toValidUtf8(std::string_view text)
 {
@@ -48,15 +65,31 @@
 
 std::string fitColumns(std::string_view text, std::size_t columns)
 {
+    std::string result = cleanText(text, text.size());
+    const std::size_t length = countColumns(result);
+    if (length <= columns) {
+        return result + std::string(columns - length, ' ');
+    }
+    result.resize(endOfColumn(result, columns - 1));
+    return result + '~';
+}
+
+std::string wrapLines(std::string_view text, std::size_t columns, std::size_t indent)
+{
+    assert(indent < columns);
+    std::string rest = cleanText(text, text.size());
     std::string result;
-    std::size_t used = 0;
-    for (const char character : cleanText(text, text.size())) {
-        if (!isContinuation(character) && ++used > columns) {
-            return result;
-        }
-        result += character;
+    std::size_t start = 0; // Of the text in the rest, after its indent.
+    while (countColumns(rest) > columns) {
+        const std::size_t limit = endOfColumn(rest, columns);
+        const std::size_t space = rest.rfind(' ', limit);
+        const bool breaksAtSpace = space != std::string::npos && space > start;
+        const std::size_t end = breaksAtSpace ? space : limit;
+        result.append(rest, 0, end).append("\n");
+        rest = std::string(indent, ' ') + rest.substr(breaksAtSpace ? end + 1 : end);
+        start = indent;
     }
-    return result + std::string(columns - used, ' ');
+    return result + rest + '\n';
 }
 
 std::string escapeHtml(std::string_view text)
--- a/src/reports/service_burn.h
+++ b/src/reports/service_burn.h
@@ -20,7 +20,10 @@
     std::vector<count_bucket> buckets; /**< Those with ends, oldest first. */
 };
 
-/** A planned change after which a service spent more of its budget than before. */
+/**
+ * A planned change after which a service spent more of its budget than before: after − before > 2 × √(after + before), which is twice the
+ * standard deviation of the difference if the ends came at random at one rate.
+ */
 struct burn_coincidence
 {
     event_note note;
--- a/src/reports/summarise_service.cpp
+++ b/src/reports/summarise_service.cpp
@@ -1,6 +1,7 @@
 #include "reports/summarise_service.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 namespace parsleyglade {
@@ -110,6 +111,13 @@
     return std::nullopt;
 }
 
+bool isRise(const burn_coincidence &each)
+{
+    const auto before = static_cast<double>(each.spentBefore);
+    const auto after = static_cast<double>(each.spentAfter);
+    return after - before > 2 * std::sqrt(after + before);
+}
+
 std::vector<burn_coincidence> findCoincidences(const service_burn &service, const std::vector<event_note> &notes, wall_time now)
 {
     std::vector<burn_coincidence> result;
@@ -118,7 +126,7 @@
             continue;
         }
         const std::optional<burn_coincidence> found = findCoincidence(service, note, now);
-        if (found && found->spentAfter > found->spentBefore) {
+        if (found && isRise(*found)) {
             result.push_back(*found);
         }
     }
