--- a/tests/fleet/fleet_model.cpp
+++ b/tests/fleet/fleet_model.cpp
@@ -161,7 +161,7 @@
 {
     const fleet_state before = m_whole.state();
     m_log.push_back(encode(record));
-    const bool counted = m_whole.apply(m_log.size() - 1, m_log.back()) == fold_step::applied;
+    const bool counted = m_whole.apply(m_log.size() - 1, m_log.back()) == fleet_step::applied;
     if (counted) {
         checkBudget(before, record);
         m_counts.joins += record.action == wire::fleet_action::move_joined ? 1 : 0;
--- a/tools/parsleyglade-load/execution_oracle.cpp
+++ b/tools/parsleyglade-load/execution_oracle.cpp
@@ -36,7 +36,7 @@
     m_missing = m_endpoints.size();
 
     for (const std::string &endpoint : m_endpoints) {
-        http_request request;
+        outgoing_request request;
         request.address = endpoint;
         request.target = "/v1/executions";
         m_requester.send(request, [this, endpoint](const http_answer &answer) {
--- a/tools/parsleyglade-load/load_generator.cpp
+++ b/tools/parsleyglade-load/load_generator.cpp
@@ -111,7 +111,7 @@
     ++item->attempts;
     ++m_totals.attempts;
 
-    http_request request;
+    outgoing_request request;
     request.address = m_settings.targets[m_random() % m_settings.targets.size()];
     request.method = m_settings.method;
     request.target = m_settings.route;
