Test that appends on closing connections are sent at most once

Cause: evhttp reconnects kept connections by itself; a second send of an append would break the rule that the client never repeats one.

Change: tests with a server that closes after each answer, with one that closes a kept connection instead of answering, and with a client that its own callback destroys.

--- a/tests/platform/http_log_client_test.cpp
+++ b/tests/platform/http_log_client_test.cpp
@@ -200,3 +200,59 @@
     CHECK(append(loop, client).offset == 7);
     CHECK(server.connectionCount() == 2);
 }
+
+// Guards against a client, or evhttp beneath it, that sends an append again when a kept connection turns out to be closed.
+TEST_CASE("an append on a connection that is being closed is sent at most once")
+{
+    event_loop loop;
+    scripted_server server(loop, answer("201 Created", R"({"offset":7})"), true);
+    http_log_client client(loop, shortLimits({server.address()}));
+    constexpr int appends = 200;
+    int appended = 0;
+    int unknown = 0;
+    for (int index = 0; index < appends; ++index) {
+        const append_status status = append(loop, client).status;
+        appended += status == append_status::appended ? 1 : 0;
+        unknown += status == append_status::unknown ? 1 : 0;
+
+        // The pause moves the next append from before the end of the connection is seen to after it.
+        runFor(loop, std::chrono::microseconds{index % 4 * 500});
+    }
+    CHECK(appended + unknown == appends);
+    CHECK(appended > 0);
+    CHECK(server.requestCount() >= appended);
+    CHECK(server.requestCount() <= appends);
+}
+
+// Guards against a second send after the connection was closed between a request and its answer, on a connection used before.
+TEST_CASE("an append that is cut off on a kept connection is unknown and is not sent again")
+{
+    event_loop loop;
+    scripted_server server(loop, answer("201 Created", R"({"offset":7})"), false);
+    http_log_client client(loop, shortLimits({server.address()}));
+    CHECK(append(loop, client).status == append_status::appended);
+    server.setScript("", true);
+    CHECK(append(loop, client).status == append_status::unknown);
+    runFor(loop, 50ms);
+    CHECK(server.requestCount() == 2);
+    CHECK(server.connectionCount() == 1);
+}
+
+// Guards against use of a client after its owner destroyed it in a callback, as a task does when it stops.
+TEST_CASE("a client may be destroyed by its own callback")
+{
+    event_loop loop;
+    scripted_server server(loop, answer("201 Created", R"({"offset":7})"), false);
+    auto client = std::make_unique<http_log_client>(loop, shortLimits({server.address()}));
+    int calls = 0;
+    for (int count = 0; count < 3; ++count) {
+        client->append("s", "x", [&](const append_result &) {
+            ++calls;
+            client.reset();
+        });
+    }
+    client->read("s", 0, 1, 1s, [&](const read_result &) { ++calls; });
+    runFor(loop, 200ms);
+    CHECK(calls == 1);
+    CHECK_FALSE(client);
+}
--- a/tests/platform/scripted_server.h
+++ b/tests/platform/scripted_server.h
@@ -40,6 +40,13 @@
     scripted_server(const scripted_server &) = delete;
     scripted_server &operator=(const scripted_server &) = delete;
 
+    /** Changes what the server does from the next request on. */
+    void setScript(std::string answer, bool closes)
+    {
+        m_answer = std::move(answer);
+        m_closes = closes;
+    }
+
     const std::string &address() const
     {
         return m_address;
