Add the operators' command-line client

Cause: operators validate, publish and inspect the tables, drain hosts and run maintenance waves from a shell, against whichever entry host answers.

Change: operator_client has the commands, an HTTP exchange with evhttp that has time limits, and an admin client that asks the next address with the same request identifier when one is down or loses its answer. The program parsleyglade parses arguments with CLI11 and has documented exit codes. docs/admin-interface.md states the requests and answers that the daemon is to serve; docs/configuration.md explains publishing and racing edits.

Conclusion: the commands pass their tests against an evhttp server and against servers that drop, truncate, hang or trickle their answers; the process test checks the exit codes that need no server. No daemon serves the interface yet.

--- /dev/null
+++ b/daemons/parsleyglade/main.cpp
@@ -0,0 +1,16 @@
+#include "command_line.h"
+
+#include <iostream>
+
+/** Operators' client. Exit codes: parsleyglade::exit_code. */
+int main(int argc, char *argv[])
+{
+    try {
+        parsleyglade::command_line arguments;
+        const auto early = arguments.parse(argc, argv);
+        return static_cast<int>(early ? *early : arguments.run());
+    } catch (const std::exception &error) {
+        std::cerr << "parsleyglade: " << error.what() << '\n';
+        return static_cast<int>(parsleyglade::exit_code::unexpected_answer);
+    }
+}
--- /dev/null
+++ b/src/operator_client/http_exchange.cpp
@@ -0,0 +1,132 @@
+#include "operator_client/http_exchange.h"
+
+#include "core/json_checker.h"
+#include "runtime/event_loop.h"
+
+#include <cassert>
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <memory>
+#include <optional>
+
+namespace parsleyglade {
+
+namespace {
+
+struct connection_deleter
+{
+    void operator()(evhttp_connection *connection) const
+    {
+        evhttp_connection_free(connection);
+    }
+};
+
+/** What the callbacks of one exchange report. */
+struct exchange_state
+{
+    event_loop *loop = nullptr;
+    std::optional<http_answer> answer;
+    bool isOver = false;
+    bool wasConnected = false;
+    bool timedOut = false;
+
+    void finish()
+    {
+        isOver = true;
+        loop->stop();
+    }
+};
+
+/** Called for failures after the connection was made; the request's own callback follows. */
+void onError(evhttp_request_error error, void *argument)
+{
+    auto *state = static_cast<exchange_state *>(argument);
+    state->wasConnected = true;
+    state->timedOut = error == EVREQ_HTTP_TIMEOUT;
+}
+
+void onAnswer(evhttp_request *request, void *argument)
+{
+    auto *state = static_cast<exchange_state *>(argument);
+    if (request != nullptr && evhttp_request_get_response_code(request) != 0) {
+        evbuffer *input = evhttp_request_get_input_buffer(request);
+        const std::size_t size = evbuffer_get_length(input);
+        std::string body(size, '\0');
+        evbuffer_copyout(input, body.data(), size);
+        state->answer = http_answer{evhttp_request_get_response_code(request), std::move(body)};
+    }
+    state->finish();
+}
+
+evhttp_cmd_type commandOf(const std::string &method)
+{
+    if (method == "POST") {
+        return EVHTTP_REQ_POST;
+    }
+    return method == "DELETE" ? EVHTTP_REQ_DELETE : EVHTTP_REQ_GET;
+}
+
+timeval toTimeval(duration value)
+{
+    constexpr std::int64_t microsecondsPerSecond = 1'000'000;
+    return {static_cast<time_t>(value.count() / microsecondsPerSecond), static_cast<suseconds_t>(value.count() % microsecondsPerSecond)};
+}
+
+} // namespace
+
+outcome<http_answer> exchangeHttp(event_loop &loop, const std::string &address, const std::string &token, const admin_request &request, duration timeLimit)
+{
+    assert(isCanonicalAddress(address));
+    const std::size_t colon = address.find(':');
+    const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)));
+    const std::unique_ptr<evhttp_connection, connection_deleter> connection(
+        evhttp_connection_base_new(loop.base(), nullptr, address.substr(0, colon).c_str(), port));
+    const timeval limit = toTimeval(timeLimit);
+    evhttp_connection_set_timeout_tv(connection.get(), &limit);
+    evhttp_connection_set_max_body_size(connection.get(), static_cast<ev_ssize_t>(maximumAnswerBytes));
+
+    exchange_state state;
+    state.loop = &loop;
+    evhttp_request *message = evhttp_request_new(onAnswer, &state);
+    evhttp_request_set_error_cb(message, onError);
+    evkeyvalq *headers = evhttp_request_get_output_headers(message);
+    evhttp_add_header(headers, "Host", address.c_str());
+    evhttp_add_header(headers, "Connection", "close");
+    if (!token.empty()) {
+        evhttp_add_header(headers, "Authorization", ("Bearer " + token).c_str());
+    }
+    if (!request.body.is_null()) {
+        const std::string body = request.body.dump();
+        evhttp_add_header(headers, "Content-Type", "application/json");
+        evbuffer_add(evhttp_request_get_output_buffer(message), body.data(), body.size());
+    }
+
+    if (evhttp_make_request(connection.get(), message, commandOf(request.method), request.path.c_str()) != 0) {
+        return failure{result_code::peer_unreachable, address + ": the request can't be sent", {}};
+    }
+
+    // The connection's own limit starts anew with each byte received, so the whole exchange has a limit as well.
+    const auto overall = loop.after(timeLimit * 2, [&state, message] {
+        evhttp_cancel_request(message);
+        state.wasConnected = true;
+        state.timedOut = true;
+        state.finish();
+    });
+    while (!state.isOver) {
+        loop.run();
+    }
+
+    if (state.answer) {
+        return *state.answer;
+    }
+    if (!state.wasConnected) {
+        return failure{result_code::peer_unreachable, address + ": no connection", {}};
+    }
+    if (state.timedOut) {
+        return failure{result_code::answer_timeout, address + ": no whole answer within the time limit", {}};
+    }
+    return failure{result_code::connection_lost, address + ": the connection was lost before the whole answer", {}};
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/src/operator_client/operator_commands.cpp
@@ -0,0 +1,446 @@
+#include "operator_client/operator_commands.h"
+
+#include "core/digest.h"
+#include "core/json_checker.h"
+#include "operator_client/failure_list.h"
+#include "operator_client/http_exchange.h"
+#include "operator_client/json_fields.h"
+#include "operator_client/rollout_progress.h"
+#include "operator_client/status_text.h"
+#include "operator_client/text_columns.h"
+
+#include <ostream>
+
+namespace parsleyglade {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int jsonIndent = 2;
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+exit_code writeFailures(const command_output &output, exit_code code, const std::vector<failure> &failures)
+{
+    if (output.json) {
+        // Reasons may quote bytes of an answer that are no UTF-8.
+        const json document = {{"exitCode", static_cast<int>(code)}, {"failures", failureJson(failures)}};
+        output.result << document.dump(jsonIndent, ' ', false, json::error_handler_t::replace) << '\n';
+    } else {
+        output.messages << failureText(failures);
+    }
+    return code;
+}
+
+/** The tables in the files; the exit code tells a file that can't be read from a wrong table. */
+struct read_tables
+{
+    exit_code code = exit_code::ok;
+    outcome<tables> value;
+};
+
+read_tables readTables(const table_files &files)
+{
+    const outcome<std::string> routes = readFile(files.routes, maximumTableBytes);
+    const outcome<std::string> pools = readFile(files.pools, maximumTableBytes);
+    for (const outcome<std::string> *file : {&routes, &pools}) {
+        if (!*file) {
+            const bool isTooLarge = file->lastReason().code == result_code::table_too_large;
+            return {isTooLarge ? exit_code::refused : exit_code::usage, file->failures()};
+        }
+    }
+
+    outcome<tables> parsed = parseTables(*routes, *pools);
+    return {parsed ? exit_code::ok : exit_code::refused, std::move(parsed)};
+}
+
+exit_code exitCodeOf(const http_answer &answer, const std::vector<failure> &failures)
+{
+    if (answer.status == 401 || answer.status == 403) {
+        return exit_code::not_authenticated;
+    }
+    if (failures.empty()) {
+        return exit_code::unexpected_answer;
+    }
+    switch (failures.front().code) {
+    case result_code::revision_conflict:
+        return exit_code::revision_conflict;
+    case result_code::log_append_unknown:
+        return exit_code::result_unknown;
+    case result_code::internal_error:
+        return exit_code::unexpected_answer;
+    default:
+        return exit_code::refused;
+    }
+}
+
+std::string encodedPathSegment(const std::string &text)
+{
+    constexpr std::string_view unreserved = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~";
+    std::string result;
+    for (const char character : text) {
+        if (unreserved.find(character) != std::string_view::npos) {
+            result += character;
+        } else {
+            result += '%' + toHex({&character, 1});
+        }
+    }
+    return result;
+}
+
+std::string tablesText(const tables &value)
+{
+    text_columns routes({"route", "method", "path", "pool", "idempotent", "urgency", "deadline ms", "declared ms", "team"});
+    for (const route &each : value.routes().routes()) {
+        routes.add({each.name, each.method, each.path, each.pool, each.idempotent ? "yes" : "no", std::string(name(each.urgency)),
+                    std::to_string(each.deadlineMilliseconds), std::to_string(each.declaredRunMilliseconds), each.team});
+    }
+    text_columns pools({"pool", "service", "region", "spare", "objective", "minimum", "hosts", "slots", "team"});
+    text_columns hosts({"host", "pool", "data centre", "rack", "address"});
+    for (const pool &each : value.pools().pools()) {
+        pools.add({each.name, each.service, each.region, each.spare ? "yes" : "no", json(each.availabilityObjective).dump(), std::to_string(each.minimumHosts),
+                   std::to_string(each.hosts.size()), std::to_string(each.slotsPerHost), each.team});
+        for (const pool_host &host : each.hosts) {
+            hosts.add({host.host, each.name, host.dataCentre, host.rack, host.address});
+        }
+    }
+    return "routes:\n" + routes.text() + "\npools:\n" + pools.text() + "\nhosts:\n" + hosts.text();
+}
+
+std::string burnText(const json &burn)
+{
+    text_columns columns({"service", "objective", "window h", "good", "bad", "burn rate", "budget left"});
+    for (const json &service : arrayField(burn, "services")) {
+        for (const json &window : arrayField(service, "windows")) {
+            columns.add({textField(service, "service"), json(numberField(service, "objective")).dump(), json(numberField(window, "hours")).dump(),
+                         std::to_string(integerField(window, "good")), std::to_string(integerField(window, "bad")),
+                         json(numberField(window, "burnRate")).dump(), json(numberField(service, "budgetRemaining")).dump()});
+        }
+    }
+
+    std::string text = columns.text();
+    for (const json &missing : arrayField(burn, "missing")) {
+        text += "not included: " + textField(missing, "name") + " (" + textField(missing, "reason") + ")\n";
+    }
+    return text;
+}
+
+} // namespace
+
+operator_commands::operator_commands(admin_client &client, command_output output, std::mt19937_64 random)
+    : m_client(client)
+    , m_output(output)
+    , m_random(random)
+{
+}
+
+exit_code operator_commands::validate(const table_files &files, const command_output &output)
+{
+    const read_tables read = readTables(files);
+    if (!read.value) {
+        return writeFailures(output, read.code, read.value.failures());
+    }
+
+    const tables &value = *read.value;
+    const std::size_t routes = value.routes().routes().size();
+    const std::size_t pools = value.pools().pools().size();
+    const std::string digest = toHex(value.digest());
+    if (output.json) {
+        const json document = {{"valid", true}, {"routes", routes}, {"pools", pools}, {"hosts", value.pools().hostCount()}, {"tablesDigest", digest}};
+        output.result << document.dump(jsonIndent) << '\n';
+    } else {
+        output.result << "valid: " << routes << " routes, " << pools << " pools, " << value.pools().hostCount() << " hosts, digest " << digest << '\n';
+    }
+    return exit_code::ok;
+}
+
+exit_code operator_commands::publish(const table_files &files, const publish_options &options)
+{
+    const read_tables read = readTables(files);
+    if (!read.value) {
+        return writeError(read.code, read.value.failures());
+    }
+
+    const json body = {
+        {"request", newIdentifier()},
+        {"baseRevision", options.baseRevision},
+        {"routes", json::parse(read.value->routes().canonicalJson())},
+        {"pools", json::parse(read.value->pools().canonicalJson())},
+        {"author", options.author},
+        {"note", options.note},
+    };
+    const reply published = askQuietly({"POST", "/v1/publish", body}, true);
+    if (published.code == exit_code::revision_conflict) {
+        return reportConflict(published, *read.value, options.baseRevision);
+    }
+    if (published.code != exit_code::ok) {
+        return writeError(published.code, published.failures);
+    }
+
+    const std::int64_t revision = integerField(published.body, "revision");
+    if (revision <= 0) {
+        return writeError(exit_code::unexpected_answer, {{result_code::internal_error, "the answer has no revision", {}}});
+    }
+    if (!options.wait) {
+        return writeResult(published.body, "published as revision " + std::to_string(revision) + "\n");
+    }
+    return waitForRollout(published.body, static_cast<revision_number>(revision), options);
+}
+
+exit_code operator_commands::show(const table_files &files)
+{
+    const reply answer = ask({"GET", "/v1/tables", {}});
+    if (answer.code != exit_code::ok) {
+        return answer.code;
+    }
+
+    const outcome<tables> current = currentTables(answer.body);
+    if (!current) {
+        return writeError(exit_code::unexpected_answer, current.failures());
+    }
+
+    const std::pair<const std::string &, const char *> targets[] = {{files.routes, "routes"}, {files.pools, "pools"}};
+    for (const auto &[path, key] : targets) {
+        if (path.empty()) {
+            continue;
+        }
+        const outcome<bool> written = writeFile(path, objectField(answer.body, key).dump(jsonIndent) + "\n");
+        if (!written) {
+            return writeError(exit_code::usage, written.failures());
+        }
+    }
+
+    return writeResult(answer.body,
+                       "revision " + std::to_string(integerField(answer.body, "revision")) + ", digest " + textField(answer.body, "digest") + "\n\n"
+                           + tablesText(*current));
+}
+
+exit_code operator_commands::diff(const table_files &files)
+{
+    const read_tables read = readTables(files);
+    if (!read.value) {
+        return writeError(read.code, read.value.failures());
+    }
+
+    const reply answer = ask({"GET", "/v1/tables", {}});
+    if (answer.code != exit_code::ok) {
+        return answer.code;
+    }
+
+    const outcome<tables> current = currentTables(answer.body);
+    if (!current) {
+        return writeError(exit_code::unexpected_answer, current.failures());
+    }
+
+    const table_diff difference = diffTables(*current, *read.value);
+    json document = difference.json();
+    document["revision"] = integerField(answer.body, "revision");
+    return writeResult(document, "from revision " + std::to_string(integerField(answer.body, "revision")) + " to the files:\n" + difference.text());
+}
+
+exit_code operator_commands::status()
+{
+    const reply answer = ask({"GET", "/v1/status", {}});
+    return answer.code == exit_code::ok ? writeResult(answer.body, statusText(answer.body)) : answer.code;
+}
+
+exit_code operator_commands::drain(const drain_target &target, const std::string &author, const std::string &reason)
+{
+    const json body = {{"request", newIdentifier()}, {"kind", target.kind}, {"subject", target.subject}, {"author", author}, {"reason", reason}};
+    const reply answer = ask({"POST", "/v1/drains", body});
+    if (answer.code != exit_code::ok) {
+        return answer.code;
+    }
+    return writeResult(answer.body,
+                       "drain " + textField(answer.body, "id") + " of " + target.kind + " " + target.subject + " started for "
+                           + std::to_string(arrayField(answer.body, "hosts").size()) + " hosts\n");
+}
+
+exit_code operator_commands::undrain(const drain_target &target)
+{
+    const reply status = ask({"GET", "/v1/status", {}});
+    if (status.code != exit_code::ok) {
+        return status.code;
+    }
+
+    json ended = json::array();
+    std::string text;
+    for (const json &each : arrayField(status.body, "drains")) {
+        if (textField(each, "kind") != target.kind || textField(each, "subject") != target.subject) {
+            continue;
+        }
+        const std::string id = textField(each, "id");
+        const reply answer = ask({"DELETE", "/v1/drains/" + encodedPathSegment(id), {}});
+        if (answer.code != exit_code::ok) {
+            return answer.code;
+        }
+        ended.push_back(id);
+        text += "drain " + id + " ended\n";
+    }
+
+    if (ended.empty()) {
+        return writeError(exit_code::refused, {{result_code::drain_not_found, "no drain names " + target.kind + " " + target.subject, {}}});
+    }
+    return writeResult({{"ended", ended}}, text);
+}
+
+exit_code operator_commands::planWave(const wave_request &wave)
+{
+    const json body = {
+        {"request", newIdentifier()},      {"pools", wave.pools},   {"racks", wave.racks},
+        {"dataCentres", wave.dataCentres}, {"author", wave.author}, {"reason", wave.reason},
+    };
+    const reply answer = ask({"POST", "/v1/waves", body});
+    return answer.code == exit_code::ok ? writeResult(answer.body, waveText(answer.body)) : answer.code;
+}
+
+exit_code operator_commands::changeWave(const std::string &id, const std::string &action)
+{
+    const json body = {{"request", newIdentifier()}};
+    const reply answer = ask({"POST", "/v1/waves/" + encodedPathSegment(id) + "/" + action, body});
+    return answer.code == exit_code::ok ? writeResult(answer.body, waveText(answer.body)) : answer.code;
+}
+
+exit_code operator_commands::reportBurn(const std::string &htmlFile)
+{
+    if (htmlFile.empty()) {
+        const reply answer = ask({"GET", "/v1/burn", {}});
+        return answer.code == exit_code::ok ? writeResult(answer.body, burnText(answer.body)) : answer.code;
+    }
+
+    const reply answer = ask({"GET", "/v1/burn?format=html", {}}, false);
+    if (answer.code != exit_code::ok) {
+        return answer.code;
+    }
+
+    const outcome<bool> written = writeFile(htmlFile, answer.answer.body);
+    return written ? writeResult({{"file", htmlFile}}, "written to " + htmlFile + "\n") : writeError(exit_code::usage, written.failures());
+}
+
+operator_commands::reply operator_commands::ask(const admin_request &request, bool expectsJson)
+{
+    reply answer = askQuietly(request, expectsJson);
+    if (answer.code != exit_code::ok) {
+        writeError(answer.code, answer.failures);
+    }
+    return answer;
+}
+
+operator_commands::reply operator_commands::askQuietly(const admin_request &request, bool expectsJson)
+{
+    const outcome<http_answer> answer = m_client.ask(request);
+    if (!answer) {
+        const bool isUnknown = request.changesState() && answer.lastReason().code != result_code::peer_unreachable;
+        return {isUnknown ? exit_code::result_unknown : exit_code::unreachable, {}, {}, answer.failures()};
+    }
+
+    reply result{exit_code::ok, *answer, {}, {}};
+    const bool succeeded = isSuccess(answer->status);
+    if (succeeded && !expectsJson) {
+        return result;
+    }
+
+    outcome<json> body = json_checker::parse(answer->body, maximumAnswerBytes);
+    if (body && body->is_object()) {
+        result.body = std::move(*body);
+        if (succeeded) {
+            return result;
+        }
+        result.failures = failuresOfAnswer(result.body);
+    }
+
+    result.code = succeeded ? exit_code::unexpected_answer : exitCodeOf(*answer, result.failures);
+    if (result.failures.empty()) {
+        const result_code code = result.code == exit_code::not_authenticated ? result_code::not_authenticated : result_code::internal_error;
+        result.failures.push_back({code, "the answer to " + request.method + " " + request.path + " has status " + std::to_string(answer->status), {}});
+    }
+    return result;
+}
+
+outcome<tables> operator_commands::currentTables(const json &answer)
+{
+    return parseTables(objectField(answer, "routes").dump(), objectField(answer, "pools").dump());
+}
+
+exit_code operator_commands::reportConflict(const reply &refusal, const tables &published, revision_number baseRevision)
+{
+    const reply answer = askQuietly({"GET", "/v1/tables", {}}, true);
+    const outcome<tables> current = answer.code == exit_code::ok ? currentTables(answer.body) : outcome<tables>(failure{});
+    json document = {{"exitCode", static_cast<int>(exit_code::revision_conflict)}, {"baseRevision", baseRevision}, {"failures", failureJson(refusal.failures)}};
+    std::string text = failureText(refusal.failures);
+    if (current) {
+        const table_diff difference = diffTables(*current, published);
+        const std::int64_t revision = integerField(answer.body, "revision");
+        document["currentRevision"] = revision;
+        document["diff"] = difference.json();
+        text += "from the current revision " + std::to_string(revision) + " to the files:\n" + difference.text();
+    } else {
+        text += "the current tables can't be read, so there is no diff\n";
+    }
+
+    if (m_output.json) {
+        m_output.result << document.dump(jsonIndent, ' ', false, json::error_handler_t::replace) << '\n';
+    } else {
+        m_output.messages << text;
+    }
+    return exit_code::revision_conflict;
+}
+
+exit_code operator_commands::waitForRollout(json result, revision_number revision, const publish_options &options)
+{
+    const time_point start = m_client.now();
+    rollout_progress progress;
+    std::string shown;
+    while (true) {
+        const reply status = askQuietly({"GET", "/v1/status", {}}, true);
+        std::string line = "the status can't be read: " + (status.failures.empty() ? std::string() : status.failures.front().reason);
+        if (status.code == exit_code::ok) {
+            progress = rollout_progress::fromStatus(status.body, revision);
+            line = progress.text(revision);
+        }
+        if (line != shown) {
+            m_output.messages << (m_output.isTerminal ? "\r\033[K" : "") << printable(line) << (m_output.isTerminal ? "" : "\n") << std::flush;
+            shown = line;
+        }
+        const duration waited = m_client.now() - start;
+        const bool isComplete = status.code == exit_code::ok && progress.isComplete();
+        if (isComplete || waited + options.pollInterval > options.waitLimit) {
+            m_output.messages << (m_output.isTerminal ? "\n" : "");
+            result["inForce"] = isComplete;
+            result["waitedMilliseconds"] = std::chrono::duration_cast<std::chrono::milliseconds>(waited).count();
+            result["pending"] = progress.pending;
+            const std::string published = "published as revision " + std::to_string(revision);
+            writeResult(result, published + (isComplete ? ", in force on every entry host\n" : ", not seen in force on every entry host in time\n"));
+            return isComplete ? exit_code::ok : exit_code::wait_timed_out;
+        }
+        m_client.pause(options.pollInterval);
+    }
+}
+
+exit_code operator_commands::writeError(exit_code code, const std::vector<failure> &failures)
+{
+    return writeFailures(m_output, code, failures);
+}
+
+exit_code operator_commands::writeResult(const json &document, const std::string &text)
+{
+    if (m_output.json) {
+        m_output.result << document.dump(jsonIndent) << '\n';
+    } else {
+        m_output.result << text;
+    }
+    return exit_code::ok;
+}
+
+std::int64_t operator_commands::newIdentifier()
+{
+    // JSON readers that use doubles keep whole numbers exactly up to 2^53.
+    constexpr std::int64_t largest = (std::int64_t{1} << 53) - 1;
+    return std::uniform_int_distribution<std::int64_t>(1, largest)(m_random);
+}
+
+} // namespace parsleyglade
--- /dev/null
+++ b/tests/operator_client/admin_stand_in.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "operator_client/http_answer.h"
+#include "runtime/event_loop.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+/** A small admin interface on loopback that answers from a table and notes what it was asked. */
+class admin_stand_in
+{
+public:
+    struct noted_request
+    {
+        std::string what; /**< Method and path with query. */
+        std::string authorization;
+        nlohmann::json body;
+    };
+
+    explicit admin_stand_in(parsleyglade::event_loop &loop)
+        : m_server(evhttp_new(loop.base()))
+    {
+        m_socket = evhttp_bind_socket_with_handle(m_server, "127.0.0.1", 0);
+        evhttp_set_gencb(m_server, handle, this);
+    }
+
+    admin_stand_in(const admin_stand_in &) = delete;
+    admin_stand_in &operator=(const admin_stand_in &) = delete;
+
+    ~admin_stand_in()
+    {
+        evhttp_free(m_server);
+    }
+
+    std::string address() const
+    {
+        sockaddr_in bound{};
+        socklen_t size = sizeof bound;
+        getsockname(evhttp_bound_socket_get_fd(m_socket), reinterpret_cast<sockaddr *>(&bound), &size);
+        return "127.0.0.1:" + std::to_string(ntohs(bound.sin_port));
+    }
+
+    void answer(const std::string &what, int status, const nlohmann::json &body)
+    {
+        m_answers[what] = [status, text = body.dump()] {
+            return parsleyglade::http_answer{status, text};
+        };
+    }
+
+    void answerWith(const std::string &what, std::function<parsleyglade::http_answer()> make)
+    {
+        m_answers[what] = std::move(make);
+    }
+
+    const std::vector<noted_request> &requests() const
+    {
+        return m_requests;
+    }
+
+private:
+    static void handle(evhttp_request *request, void *argument)
+    {
+        auto *self = static_cast<admin_stand_in *>(argument);
+        const evhttp_cmd_type command = evhttp_request_get_command(request);
+        const std::string method = command == EVHTTP_REQ_POST ? "POST" : command == EVHTTP_REQ_DELETE ? "DELETE" : "GET";
+        const char *authorization = evhttp_find_header(evhttp_request_get_input_headers(request), "Authorization");
+        evbuffer *input = evhttp_request_get_input_buffer(request);
+        std::string body(evbuffer_get_length(input), '\0');
+        evbuffer_copyout(input, body.data(), body.size());
+        self->m_requests.push_back(
+            {method + " " + evhttp_request_get_uri(request), authorization != nullptr ? authorization : "", nlohmann::json::parse(body, nullptr, false)});
+
+        const auto found = self->m_answers.find(self->m_requests.back().what);
+        const auto answer = found != self->m_answers.end() ? found->second() : parsleyglade::http_answer{404, R"({"code":605,"reason":"not set"})"};
+        evbuffer *output = evbuffer_new();
+        evbuffer_add(output, answer.body.data(), answer.body.size());
+        evhttp_send_reply(request, answer.status, nullptr, output);
+        evbuffer_free(output);
+    }
+
+    evhttp *m_server;
+    evhttp_bound_socket *m_socket;
+    std::map<std::string, std::function<parsleyglade::http_answer()>> m_answers;
+    std::vector<noted_request> m_requests;
+};
--- /dev/null
+++ b/tests/operator_client/operator_commands_test.cpp
@@ -0,0 +1,361 @@
+#include "admin_stand_in.h"
+#include "broken_server.h"
+#include "core/core.h"
+#include "operator_client/operator_client.h"
+#include "source_file.h"
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+using namespace parsleyglade;
+using nlohmann::json;
+
+namespace {
+
+const std::string refusedAddress = "127.0.0.1:1";
+
+/** Files of an example deployment, changed if wanted, in a folder of the test. */
+struct example_files
+{
+    explicit example_files(const std::function<void(json &)> &editRoutes = {})
+        : folder(std::filesystem::temp_directory_path() / ("parsleyglade-test-" + std::to_string(::getpid())))
+    {
+        std::filesystem::create_directories(folder);
+        json routes = json::parse(readSourceFile("examples/hung-phat/routes.json"));
+        if (editRoutes) {
+            editRoutes(routes);
+        }
+        paths = {(folder / "routes.json").string(), (folder / "pools.json").string()};
+        std::ofstream(paths.routes) << routes.dump(2);
+        std::ofstream(paths.pools) << readSourceFile("examples/hung-phat/pools.json");
+    }
+
+    example_files(const example_files &) = delete;
+    example_files &operator=(const example_files &) = delete;
+
+    ~example_files()
+    {
+        std::filesystem::remove_all(folder);
+    }
+
+    std::filesystem::path folder;
+    table_files paths;
+};
+
+json tablesAnswer(revision_number revision)
+{
+    return {{"revision", revision},
+            {"digest", "aa"},
+            {"routes", json::parse(readSourceFile("examples/hung-phat/routes.json"))},
+            {"pools", json::parse(readSourceFile("examples/hung-phat/pools.json"))}};
+}
+
+/** Commands over given addresses, with what they wrote. */
+struct console
+{
+    console(event_loop &loop, std::vector<std::string> addresses, bool isJson = false)
+        : client(loop, std::move(addresses), "secret", std::chrono::milliseconds{200})
+        , output{result, messages, isJson, false}
+        , commands(client, output, std::mt19937_64(1))
+    {
+    }
+
+    std::ostringstream result;
+    std::ostringstream messages;
+    admin_client client;
+    command_output output;
+    operator_commands commands;
+};
+
+struct answer_case
+{
+    int status;
+    std::string body;
+    exit_code code;
+};
+
+} // namespace
+
+// Guards against scripts that take a failure for success, or one failure for another.
+TEST_CASE("each kind of answer to a command gives its exit code")
+{
+    const auto expected = GENERATE(values<answer_case>({
+        {201, R"({"id":"d1","hosts":["lathe-01"]})", exit_code::ok},
+        {201, "not json", exit_code::unexpected_answer},
+        {201, "[]", exit_code::unexpected_answer},
+        {400, R"({"code":111,"reason":"bad kind"})", exit_code::refused},
+        {404, R"({"code":600,"reason":"no such host"})", exit_code::refused},
+        {409, R"({"code":602,"reason":"budget"})", exit_code::refused},
+        {409, R"({"code":112,"reason":"racing"})", exit_code::revision_conflict},
+        {401, "", exit_code::not_authenticated},
+        {403, R"({"code":205,"reason":"wrong token"})", exit_code::not_authenticated},
+        {404, "<html>", exit_code::unexpected_answer},
+        {400, R"({"code":99999,"reason":"x"})", exit_code::unexpected_answer},
+        {400, R"({"code":"x","reason":7})", exit_code::unexpected_answer},
+        {500, R"({"code":506,"reason":"fault"})", exit_code::unexpected_answer},
+        {503, R"({"code":213,"reason":"log down"})", exit_code::refused},
+        {503, R"({"code":500,"reason":"append unknown"})", exit_code::result_unknown},
+    }));
+    event_loop loop;
+    admin_stand_in server(loop);
+    server.answerWith("POST /v1/drains", [&expected] { return http_answer{expected.status, expected.body}; });
+    const bool isJson = GENERATE(false, true);
+    console terminal(loop, {server.address()}, isJson);
+    INFO(expected.status << " " << expected.body);
+    CHECK(terminal.commands.drain({"host", "lathe-01"}, "lan", "bearing noise") == expected.code);
+    CHECK(server.requests().size() == 1);
+    CHECK(server.requests()[0].authorization == "Bearer secret");
+    if (isJson) {
+        const json document = json::parse(terminal.result.str());
+        CHECK((expected.code == exit_code::ok || document["exitCode"] == static_cast<int>(expected.code)));
+    } else {
+        CHECK(terminal.messages.str().empty() == (expected.code == exit_code::ok));
+    }
+}
+
+// Guards against a client that gives up although another entry host answers, or that repeats a command under another identifier.
+TEST_CASE("the next address is asked the same when one is down, unavailable or loses its answer")
+{
+    event_loop loop;
+    admin_stand_in unavailable(loop);
+    unavailable.answer("POST /v1/drains", 503, {{"code", 213}, {"reason", "log down"}});
+    broken_server losing(loop, broken_server::behaviour::close_after_bytes, "HTTP/1.1 201 Created\r\nContent-Length: 100\r\n\r\n{");
+    admin_stand_in working(loop);
+    working.answer("POST /v1/drains", 201, {{"id", "d1"}, {"hosts", json::array()}});
+
+    console terminal(loop, {refusedAddress, unavailable.address(), losing.address(), working.address()});
+    CHECK(terminal.commands.drain({"rack", "an-duong-r1"}, "lan", "") == exit_code::ok);
+    REQUIRE(unavailable.requests().size() == 1);
+    REQUIRE(working.requests().size() == 1);
+    CHECK(working.requests()[0].body == unavailable.requests()[0].body);
+    CHECK(working.requests()[0].body["request"].is_number_integer());
+
+    // The address that answered is asked first from now on, and each command has its own identifier.
+    CHECK(terminal.commands.drain({"rack", "an-duong-r1"}, "lan", "") == exit_code::ok);
+    CHECK(unavailable.requests().size() == 1);
+    REQUIRE(working.requests().size() == 2);
+    CHECK(working.requests()[1].body["request"] != working.requests()[0].body["request"]);
+}
+
+// Guards against an operator who is told that nothing happened although a command may have taken effect.
+TEST_CASE("a lost answer to a command leaves the result unknown, and no connection means that nothing was changed")
+{
+    event_loop loop;
+    const std::string bytes = GENERATE(as<std::string>{}, "", "HTTP/1.1 201 Created\r\nContent-Length: 100\r\n\r\n{", "HTTP/1.1 2");
+    broken_server losing(loop, broken_server::behaviour::close_after_bytes, bytes);
+    console lost(loop, {losing.address(), refusedAddress});
+    CHECK(lost.commands.drain({"host", "lathe-01"}, "lan", "") == exit_code::result_unknown);
+    CHECK(lost.commands.status() == exit_code::unreachable);
+
+    console refused(loop, {refusedAddress});
+    CHECK(refused.commands.drain({"host", "lathe-01"}, "lan", "") == exit_code::unreachable);
+}
+
+// Guards against a client that waits for ever on a server that hangs, or that sends just enough to seem alive.
+TEST_CASE("an exchange ends within its time limits")
+{
+    event_loop loop;
+    const auto mode = GENERATE(broken_server::behaviour::keep_open, broken_server::behaviour::send_slowly);
+    broken_server hanging(loop, mode, "HTTP/1.1 200 OK\r\nX-Filler: " + std::string(10000, 'x'));
+    console terminal(loop, {hanging.address()});
+    const time_point start = loop.now();
+    CHECK(terminal.commands.planWave({}) == exit_code::result_unknown);
+    CHECK(loop.now() - start >= std::chrono::milliseconds{190});
+    CHECK(loop.now() - start < std::chrono::seconds{2});
+}
+
+// Guards against publishing under another base or other tables than the operator gave.
+TEST_CASE("publish sends both tables with their base, author and note")
+{
+    event_loop loop;
+    admin_stand_in server(loop);
+    server.answer("POST /v1/publish", 200, {{"revision", 8}, {"offset", 40}, {"digest", "aa"}});
+    const example_files files;
+    console terminal(loop, {server.address()});
+    publish_options options;
+    options.baseRevision = 7;
+    options.author = "lan";
+    options.note = "new lathe";
+    CHECK(terminal.commands.publish(files.paths, options) == exit_code::ok);
+    CHECK(terminal.result.str() == "published as revision 8\n");
+    REQUIRE(server.requests().size() == 1);
+    const json &body = server.requests()[0].body;
+    CHECK(body["baseRevision"] == 7);
+    CHECK(body["author"] == "lan");
+    CHECK(body["note"] == "new lathe");
+    const auto sent = parseTables(body["routes"].dump(), body["pools"].dump());
+    REQUIRE(sent.hasValue());
+    CHECK(sent->pools().hostCount() == 50);
+}
+
+// Guards against wrong tables that are sent at all, and files whose mistakes are not shown with their place and remedy.
+TEST_CASE("wrong tables and unreadable files are refused without asking a server")
+{
+    event_loop loop;
+    admin_stand_in server(loop);
+    const example_files files([](json &routes) { routes["routes"][2]["pool"] = "mill"; });
+    console terminal(loop, {server.address()});
+    CHECK(terminal.commands.publish(files.paths, {}) == exit_code::refused);
+    CHECK(terminal.messages.str().find("/routes/2/pool: unknown_pool (105): ") == 0);
+    CHECK(terminal.commands.publish({files.paths.routes + "-missing", files.paths.pools}, {}) == exit_code::usage);
+    CHECK(server.requests().empty());
+
+    console asJson(loop, {server.address()}, true);
+    CHECK(operator_commands::validate(files.paths, asJson.output) == exit_code::refused);
+    CHECK(json::parse(asJson.result.str())["failures"][0]["pointer"] == "/routes/2/pool");
+}
+
+// Guards against an operator who loses a race and is not shown what to merge.
+TEST_CASE("a revision conflict shows the difference from the current tables")
+{
+    event_loop loop;
+    admin_stand_in server(loop);
+    server.answer("POST /v1/publish", 409, {{"code", 112}, {"reason", "based on 7, current is 9"}});
+    server.answer("GET /v1/tables", 200, tablesAnswer(9));
+    const example_files files([](json &routes) { routes["routes"][0]["deadlineMilliseconds"] = 11000; });
+    publish_options options;
+    options.baseRevision = 7;
+
+    console terminal(loop, {server.address()});
+    CHECK(terminal.commands.publish(files.paths, options) == exit_code::revision_conflict);
+    CHECK(terminal.messages.str().find("from the current revision 9 to the files:\nchanged route scan-upload\n    deadlineMilliseconds: 10000 -> 11000\n")
+          != std::string::npos);
+
+    console asJson(loop, {server.address()}, true);
+    CHECK(asJson.commands.publish(files.paths, options) == exit_code::revision_conflict);
+    const json document = json::parse(asJson.result.str());
+    CHECK(document["currentRevision"] == 9);
+    CHECK(document["diff"]["changes"].size() == 1);
+}
+
+// Guards against --wait that ends before every entry host has the revision, or never ends.
+TEST_CASE("publish --wait ends when every entry host has the revision, or at its limit")
+{
+    event_loop loop;
+    admin_stand_in server(loop);
+    const bool comesInForce = GENERATE(true, false);
+    int polls = 0;
+    server.answer("POST /v1/publish", 200, {{"revision", 8}});
+    server.answerWith("GET /v1/status", [&polls, comesInForce] {
+        ++polls;
+        if (polls == 2) {
+            return http_answer{503, R"({"code":506,"reason":"busy"})"};
+        }
+        const bool isDone = comesInForce && polls > 3;
+        const json status = {{"entryHosts",
+                              {{{"name", "e1"}, {"asked", true}, {"revision", 8}},
+                               {{"name", "e2"}, {"asked", true}, {"revision", isDone ? 9 : 7}},
+                               {{"name", "e3"}, {"asked", isDone}, {"revision", 8}}}}};
+        return http_answer{200, status.dump()};
+    });
+    const example_files files;
+    console terminal(loop, {server.address()}, true);
+    publish_options options;
+    options.wait = true;
+    options.waitLimit = std::chrono::milliseconds{300};
+    options.pollInterval = std::chrono::milliseconds{20};
+    CHECK(terminal.commands.publish(files.paths, options) == (comesInForce ? exit_code::ok : exit_code::wait_timed_out));
+    const json document = json::parse(terminal.result.str());
+    CHECK(document["inForce"] == comesInForce);
+    CHECK(document["pending"].size() == (comesInForce ? 0 : 2));
+    CHECK(terminal.messages.str().find("revision 8 on 1 of 3 entry hosts; waiting for e2 (revision 7), e3 (not reached)") != std::string::npos);
+}
+
+// Guards against a wait that ends at once because a status names no entry host.
+TEST_CASE("a status without entry hosts shows no rollout")
+{
+    CHECK_FALSE(rollout_progress::fromStatus(json::object(), 0).isComplete());
+    CHECK_FALSE(rollout_progress::fromStatus(json::parse(R"({"entryHosts":[{"name":"e1","revision":5}]})"), 1).isComplete());
+    CHECK(rollout_progress::fromStatus(json::parse(R"({"entryHosts":[{"name":"e1","revision":5,"asked":true}]})"), 5).isComplete());
+}
+
+// Guards against saved tables that can't be edited and published again.
+TEST_CASE("show writes files that validate takes")
+{
+    event_loop loop;
+    admin_stand_in server(loop);
+    server.answer("GET /v1/tables", 200, tablesAnswer(9));
+    const example_files files;
+    const table_files saved{files.paths.routes + ".saved", files.paths.pools + ".saved"};
+    console terminal(loop, {server.address()});
+    CHECK(terminal.commands.show(saved) == exit_code::ok);
+    CHECK(terminal.result.str().find("revision 9") == 0);
+    CHECK(operator_commands::validate(saved, terminal.output) == exit_code::ok);
+    CHECK(terminal.commands.diff(saved) == exit_code::ok);
+    CHECK(terminal.result.str().find("no differences") != std::string::npos);
+}
+
+// Guards against a drain that stays because it was ended under another name, and against a silent success when there is none.
+TEST_CASE("undrain ends each drain of the target")
+{
+    event_loop loop;
+    admin_stand_in server(loop);
+    server.answer("GET /v1/status", 200,
+                  json::parse(R"({"drains":[{"id":"a/1","kind":"host","subject":"lathe-01"},{"id":"2","kind":"rack","subject":"lathe-01"},
+                                            {"id":"3","kind":"host","subject":"lathe-01"}]})"));
+    server.answer("DELETE /v1/drains/a%2f1", 200, {{"id", "a/1"}});
+    server.answer("DELETE /v1/drains/3", 200, {{"id", "3"}});
+    console terminal(loop, {server.address()});
+    CHECK(terminal.commands.undrain({"host", "lathe-01"}) == exit_code::ok);
+    CHECK(server.requests().size() == 3);
+    CHECK(terminal.commands.undrain({"data-centre", "lathe-01"}) == exit_code::refused);
+}
+
+// Guards against commands that ask for another path than docs/admin-interface.md has.
+TEST_CASE("waves and burn reports use their paths")
+{
+    event_loop loop;
+    admin_stand_in server(loop);
+    const json wave = {{"id", "w1"}, {"state", "planned"}, {"hostsPlanned", 2}, {"steps", {{{"hosts", {"lathe-01", "lathe-02"}}, {"pools", {"lathe"}}}}}};
+    server.answer("POST /v1/waves", 201, wave);
+    server.answer("POST /v1/waves/w1/start", 200, wave);
+    server.answer("GET /v1/burn", 200, json::parse(R"({"services":[{"service":"lathe","objective":0.995,"budgetRemaining":0.5,
+        "windows":[{"hours":1,"good":99,"bad":1,"burnRate":2.0}]}],"missing":[{"name":"e3","reason":"not reached"}]})"));
+    server.answerWith("GET /v1/burn?format=html", [] { return http_answer{200, "<!doctype html>"}; });
+    console terminal(loop, {server.address()});
+    CHECK(terminal.commands.planWave({{"lathe"}, {}, {"an-duong"}, "lan", ""}) == exit_code::ok);
+    CHECK(server.requests()[0].body["pools"] == json({"lathe"}));
+    CHECK(server.requests()[0].body["dataCentres"] == json({"an-duong"}));
+    CHECK(terminal.commands.changeWave("w1", "start") == exit_code::ok);
+    CHECK(terminal.commands.changeWave("w2", "abort") == exit_code::refused);
+    CHECK(terminal.commands.reportBurn("") == exit_code::ok);
+    CHECK(terminal.result.str().find("not included: e3 (not reached)") != std::string::npos);
+
+    const example_files files;
+    const std::string page = (files.folder / "burn.html").string();
+    CHECK(terminal.commands.reportBurn(page) == exit_code::ok);
+    CHECK(*readFile(page, 100) == "<!doctype html>");
+    CHECK(terminal.commands.reportBurn((files.folder / "none" / "burn.html").string()) == exit_code::usage);
+}
+
+// Guards against answers of another version, or of a broken host, that end the client or change the operator's terminal.
+TEST_CASE("a status with missing or wrong fields is shown as far as it goes")
+{
+    const auto document = GENERATE(as<std::string>{}, "{}", R"({"entryHosts":7,"hosts":[1,null,"x",{"host":5}],"drains":{"a":1}})",
+                                   R"({"entryHosts":[{"name":"a\u001b[2J","revision":"x","asked":"yes"}],"waves":[[]],"refusals":[{"code":1e300}]})");
+    const std::string text = statusText(json::parse(document));
+    CHECK(text.find('\033') == std::string::npos);
+    CHECK_FALSE(text.empty());
+    CHECK_FALSE(waveText(json::parse(document)).empty());
+}
+
+// Guards against a status that hides what an operator needs to decide.
+TEST_CASE("the status shows entry hosts, hosts, drains, waves and refusals")
+{
+    const std::string text = statusText(json::parse(R"({"answeredBy":"e1","wallMilliseconds":1000000,"revision":9,"digest":"abcdef0123456789",
+        "entryHosts":[{"name":"e1","dataCentre":"an-duong","asked":true,"revision":9,"digest":"abcdef0123456789","logReachable":true,
+                       "knowledgeAgeMilliseconds":15},
+                      {"name":"e2","dataCentre":"kien-an","asked":false,"reason":"cut off","revision":8,"knowledgeAgeMilliseconds":61000}],
+        "hosts":[{"host":"lathe-01","pool":"lathe","dataCentre":"an-duong","rack":"an-duong-r1","state":"leaving","sinceMilliseconds":940000,
+                  "nextStep":"waits for 2 jobs"}],
+        "drains":[{"id":"d1","kind":"host","subject":"lathe-01","author":"lan","sinceMilliseconds":940000,"hostsRemaining":1,"reason":"noise"}],
+        "waves":[{"id":"w1","state":"paused","hostsPlanned":10,"hostsDone":4,"reason":"burn rate","nextStep":"start"}],
+        "refusals":[{"what":"route lathe-path","code":209,"name":"queue_full","reason":"burst","count":7,"remedy":"wait"}]})"));
+    for (const char *expected : {"revision 9, digest abcdef012345, as seen by e1", "no: cut off", "not reachable", "61 s", "15 ms", "leaving", "60 s",
+                                 "waits for 2 jobs", "d1", "noise", "4 of 10", "burn rate", "queue_full (209)", "burst"}) {
+        INFO(expected);
+        CHECK(text.find(expected) != std::string::npos);
+    }
+}
