--- a/src/jobs/claim_coordinator_log.cpp
+++ b/src/jobs/claim_coordinator_log.cpp
@@ -61,9 +61,10 @@
 
     m_contactAt = at.now;
     const bool wasCaughtUp = m_reader.isCaughtUp();
+    const bool wasScanning = m_reader.isScanning();
     const log_offset from = m_reader.readFrom();
     const std::vector<fold_step> steps = m_reader.take(answer);
-    const bool hasProgress = m_reader.readFrom() != from;
+    const bool hasProgress = m_reader.readFrom() != from || m_reader.isScanning() != wasScanning;
     takeSteps(steps);
     if (!wasCaughtUp && m_reader.isCaughtUp()) {
         evaluateAll();
--- a/src/jobs/stream_reader.cpp
+++ b/src/jobs/stream_reader.cpp
@@ -37,6 +37,11 @@
     return m_isScanning ? m_scanNext : m_fold.nextOffset();
 }
 
+bool stream_reader::isScanning() const
+{
+    return m_isScanning;
+}
+
 bool stream_reader::isCaughtUp() const
 {
     return m_isCaughtUp;
--- a/src/jobs/stream_reader.h
+++ b/src/jobs/stream_reader.h
@@ -25,6 +25,9 @@
     /** Offset from which the next read has to start. */
     log_offset readFrom() const;
 
+    /** Whether it looks for a snapshot, since retention has overtaken it. */
+    bool isScanning() const;
+
     /** Whether the fold has reached the head as some replica knew it. Replicas may be stale; only an own append shows the true head. */
     bool isCaughtUp() const;
 
--- /dev/null
+++ b/tools/measure-claims/recovery_run.cpp
@@ -0,0 +1,158 @@
+#include "recovery_run.h"
+
+#include "jobs/jobs.h"
+
+#include <algorithm>
+#include <chrono>
+#include <malloc.h>
+#include <memory>
+#include <random>
+
+namespace parsleyglade::measure {
+
+namespace {
+
+constexpr std::int64_t wallStart = 1'800'000'000'000;
+constexpr std::size_t entriesEach = 16;
+constexpr std::size_t readRecords = 1'000;
+
+// Other processes of the machine disturb real times, so the least of several runs is taken.
+constexpr int repeats = 3;
+
+double heapBytes()
+{
+    return static_cast<double>(mallinfo2().uordblks);
+}
+
+template <typename Work> double millisecondsOf(const Work &work)
+{
+    const auto start = std::chrono::steady_clock::now();
+    work();
+    return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - start).count();
+}
+
+/** Records of a stream in which every job was claimed and completed. */
+std::vector<std::string> streamOf(std::size_t claims)
+{
+    std::mt19937_64 random(1);
+    std::vector<std::string> records;
+    for (std::size_t written = 0; written < claims; written += entriesEach) {
+        wire::claim_batch claimed;
+        wire::claim_batch completed;
+        for (std::size_t entry = 0; entry < std::min(entriesEach, claims - written); ++entry) {
+            const auto created = wallStart + static_cast<std::int64_t>(written + entry);
+            wire::claim_entry claim;
+            claim.key = job_key::generate(wall_time{std::chrono::milliseconds{created}}, random).bytes();
+            claim.caller = static_cast<std::int64_t>(random());
+            claim.fingerprint = static_cast<std::int64_t>(random());
+            claim.dispatcher = static_cast<std::int64_t>(random());
+            claim.attempt = static_cast<std::int64_t>(random());
+            claimed.claims.push_back(claim);
+
+            wire::result_entry result;
+            result.key = claim.key;
+            result.caller = claim.caller;
+            result.attempt = claim.attempt;
+            result.result = wire::job_result::completed;
+            result.httpStatus = 200;
+            completed.results.push_back(result);
+        }
+        records.push_back(encode(claimed));
+        records.push_back(encode(completed));
+    }
+    return records;
+}
+
+std::vector<std::string> chunksOf(const std::vector<std::string> &parts)
+{
+    std::vector<std::string> records;
+    for (std::size_t index = 0; index < parts.size(); ++index) {
+        wire::claim_batch batch;
+        wire::snapshot_chunk chunk;
+        chunk.snapshot = 1;
+        chunk.index = static_cast<std::int32_t>(index);
+        chunk.count = static_cast<std::int32_t>(parts.size());
+        chunk.checksum = snapshotChecksum(parts);
+        chunk.part = parts[index];
+        batch.__set_snapshot(chunk);
+        records.push_back(encode(batch));
+    }
+    return records;
+}
+
+/** Feeds the records to an empty coordinator until it has caught up. */
+std::unique_ptr<claim_coordinator> recover(const std::vector<std::string> &records, log_offset first)
+{
+    auto coordinator = std::make_unique<claim_coordinator>(coordinator_settings{}, 1);
+    const moment at{time_point{std::chrono::hours{1}}, wall_time{std::chrono::milliseconds{wallStart}}};
+    coordinator_actions actions = coordinator->start(at);
+    while (!coordinator->status().isCaughtUp) {
+        const auto &read = std::get<read_action>(actions.front());
+        read_answer answer{read.from < first ? read_answer::kind::trimmed : read_answer::kind::ok, {}, first, first + records.size()};
+        for (log_offset offset = read.from; offset >= first && offset < answer.head && answer.records.size() < readRecords; ++offset) {
+            answer.records.push_back({offset, records[offset - first]});
+        }
+        actions = coordinator->readEnded(answer, at);
+    }
+    return coordinator;
+}
+
+} // namespace
+
+namespace {
+
+recovery_result measureOnce(std::size_t claims)
+{
+    recovery_result result;
+    result.claims = claims;
+    const auto records = streamOf(claims);
+    result.records = records.size();
+
+    const double before = heapBytes();
+    std::unique_ptr<claim_coordinator> coordinator;
+    result.replayMilliseconds = millisecondsOf([&] { coordinator = recover(records, 0); });
+    result.memoryBytes = heapBytes() - before;
+
+    std::vector<std::string> parts;
+    result.encodeMilliseconds = millisecondsOf([&] { parts = coordinator->fold().snapshotParts(coordinator_settings{}.snapshotChunkEntries); });
+    for (const std::string &part : parts) {
+        result.snapshotBytes += static_cast<double>(part.size());
+    }
+
+    const auto chunks = chunksOf(parts);
+    result.snapshotMilliseconds = millisecondsOf([&] { coordinator = recover(chunks, records.size()); });
+    return result;
+}
+
+} // namespace
+
+recovery_result measureRecovery(std::size_t claims)
+{
+    recovery_result best = measureOnce(claims);
+    for (int repeat = 1; repeat < repeats; ++repeat) {
+        const recovery_result next = measureOnce(claims);
+        best.replayMilliseconds = std::min(best.replayMilliseconds, next.replayMilliseconds);
+        best.snapshotMilliseconds = std::min(best.snapshotMilliseconds, next.snapshotMilliseconds);
+        best.encodeMilliseconds = std::min(best.encodeMilliseconds, next.encodeMilliseconds);
+    }
+    return best;
+}
+
+slope fit(const std::vector<double> &claims, const std::vector<double> &values)
+{
+    const auto count = static_cast<double>(claims.size());
+    double sumX = 0;
+    double sumY = 0;
+    double sumXX = 0;
+    double sumXY = 0;
+    for (std::size_t index = 0; index < claims.size(); ++index) {
+        sumX += claims[index];
+        sumY += values[index];
+        sumXX += claims[index] * claims[index];
+        sumXY += claims[index] * values[index];
+    }
+    const double perClaim = (count * sumXY - sumX * sumY) / (count * sumXX - sumX * sumX);
+    return {perClaim, (sumY - perClaim * sumX) / count};
+}
+
+} // namespace parsleyglade::measure
--- /dev/null
+++ b/tools/measure-claims/virtual_log.cpp
@@ -0,0 +1,71 @@
+#include "virtual_log.h"
+
+#include <algorithm>
+
+namespace parsleyglade::measure {
+
+virtual_log::virtual_log(virtual_time &time, double appendsPerSecond, duration call, double burst)
+    : m_time(time)
+    , m_rate(appendsPerSecond)
+    , m_call(call)
+    , m_burst(burst)
+    , m_tokens(burst)
+{
+}
+
+void virtual_log::append(int stream, const std::string &payload, const std::function<void(append_answer)> &done)
+{
+    if (!takeToken()) {
+        ++m_refusals;
+        const append_answer refused{append_answer::kind::refused, 0, duration{static_cast<duration::rep>(1e6 / m_rate)}};
+        m_time.after(m_call, [done, refused] { done(refused); });
+        return;
+    }
+
+    ++m_appends;
+    m_bytes += payload.size();
+    m_time.after(m_call / 2, [this, stream, payload, done] {
+        auto &records = m_streams[stream];
+        records.push_back(payload);
+        const append_answer appended{append_answer::kind::appended, records.size() - 1, {}};
+        m_time.after(m_call - m_call / 2, [done, appended] { done(appended); });
+    });
+}
+
+void virtual_log::read(int stream, log_offset from, std::size_t maximumRecords, const std::function<void(read_answer)> &done)
+{
+    const auto &records = m_streams[stream];
+    read_answer answer{read_answer::kind::ok, {}, 0, records.size()};
+    for (log_offset offset = from; offset < records.size() && answer.records.size() < maximumRecords; ++offset) {
+        answer.records.push_back({offset, records[offset]});
+    }
+    m_time.after(m_call, [done, answer] { done(answer); });
+}
+
+std::uint64_t virtual_log::appends() const
+{
+    return m_appends;
+}
+
+std::uint64_t virtual_log::refusals() const
+{
+    return m_refusals;
+}
+
+std::uint64_t virtual_log::bytes() const
+{
+    return m_bytes;
+}
+
+bool virtual_log::takeToken()
+{
+    m_tokens = std::min(m_burst, m_tokens + m_rate * toSeconds(m_time.now() - m_filledAt));
+    m_filledAt = m_time.now();
+    if (m_tokens < 1) {
+        return false;
+    }
+    m_tokens -= 1;
+    return true;
+}
+
+} // namespace parsleyglade::measure
