--- a/src/fleet/wave_planner.cpp
+++ b/src/fleet/wave_planner.cpp
@@ -94,7 +94,7 @@
     return plan;
 }
 
-std::set<std::string> wave_planner::failedRacks(const fleet_tables &tables, const fleet_health &health) const
+std::set<std::string> wave_planner::failedRacks(const fleet_tables &tables, const fleet_state &state, const fleet_health &health) const
 {
     struct rack_count
     {
@@ -102,7 +102,17 @@
         double down = 0;
     };
     std::unordered_map<std::string, rack_count> racks;
+    // Hosts under maintenance are down by plan and say nothing of their rack.
+    std::set<std::string> drainedHosts;
+    for (const auto &[id, drain] : state.drains) {
+        if (drain.scope == drain_scope::host) {
+            drainedHosts.insert(drain.subject);
+        }
+    }
     for (const fleet_host &host : tables.hosts) {
+        if (drainedHosts.contains(host.name)) {
+            continue;
+        }
         rack_count &rack = racks[host.rack];
         rack.hosts += 1;
         rack.down += isDown(health, host.name) ? 1 : 0;
@@ -122,7 +132,7 @@
 {
     bool hostsGone = false;
     const auto remaining = remainingHosts(wave, tables, hostsGone);
-    const auto failed = failedRacks(tables, health);
+    const auto failed = failedRacks(tables, state, health);
 
     // Hosts that the wave has drained already, and those of failed racks, lead the plan.
     std::vector<std::string> first;
--- a/src/fleet/wave_planner.h
+++ b/src/fleet/wave_planner.h
@@ -38,8 +38,8 @@
     std::optional<wave_plan> replan(const maintenance_wave &wave, const std::string &name, const fleet_tables &tables, const fleet_state &state,
                                     const fleet_health &health) const;
 
-    /** Racks of which at least failedRackShare of the hosts, and at least two, are down. */
-    std::set<std::string> failedRacks(const fleet_tables &tables, const fleet_health &health) const;
+    /** Racks of which at least two hosts, and failedRackShare of those without a drain of their own, are down without such a drain. */
+    std::set<std::string> failedRacks(const fleet_tables &tables, const fleet_state &state, const fleet_health &health) const;
 
 private:
     std::vector<std::vector<std::string>> batchesOf(std::vector<const fleet_host *> hosts, const availability_budget &budget,
--- a/src/fleet/wave_runner.cpp
+++ b/src/fleet/wave_runner.cpp
@@ -123,7 +123,7 @@
     for (const fleet_host &host : view.tables.hosts) {
         published[host.name] = &host;
     }
-    const auto failed = m_planner.failedRacks(view.tables, view.health);
+    const auto failed = m_planner.failedRacks(view.tables, view.state, view.health);
     std::int64_t follows = view.state.lastPlannedRecord;
     for (const auto &batch : wave.batches) {
         for (const std::string &hostName : batch) {
