Let kept hosts go to the pool in need, and let the spare pool ask too

Cause: hosts that a pool kept for its next burst could not leave it while another pool burst, and the spare pool had no wish for its own bursts.

Change: move_planner lends what a pool keeps beyond its need; only returns to the published pool respect the kept number. A spare pool with a wish lends only what it does not need.

--- a/src/fleet/move_planner.cpp
+++ b/src/fleet/move_planner.cpp
@@ -27,19 +27,30 @@
 
     std::int64_t missing(const pool_wish &wish) const
     {
-        const auto found = coming.find(wish.pool);
-        return wish.hosts - (found == coming.end() ? 0 : found->second);
+        return wish.hosts - available(wish.pool);
     }
 
-    /** Hosts that the pool would give up. Spare pools give whatever their budget allows. */
+    /** Hosts that the pool gives up when no other pool needs them. */
     std::int64_t surplus(const std::string &pool) const
     {
-        if (sparePools.contains(pool)) {
-            return std::numeric_limits<std::int64_t>::max();
-        }
         const auto wish = wishOf.find(pool);
+        return wish == wishOf.end() ? 0 : available(pool) - std::max(wish->second->keep, wish->second->hosts);
+    }
+
+    /** Hosts that the pool gives to one in need: also those that it only keeps. A spare pool without a wish gives what its budget allows. */
+    std::int64_t lendable(const std::string &pool) const
+    {
+        const auto wish = wishOf.find(pool);
+        if (wish == wishOf.end()) {
+            return sparePools.contains(pool) ? std::numeric_limits<std::int64_t>::max() : 0;
+        }
+        return available(pool) - wish->second->hosts;
+    }
+
+    std::int64_t available(const std::string &pool) const
+    {
         const auto count = coming.find(pool);
-        return wish == wishOf.end() || count == coming.end() ? 0 : count->second - std::max(wish->second->keep, wish->second->hosts);
+        return count == coming.end() ? 0 : count->second;
     }
 
     const host_assignment *assignment(const std::string &host) const
@@ -127,7 +138,7 @@
     for (const fleet_host &host : current.tables.hosts) {
         const std::string &pool = currentPool(current.state, host);
         const bool lent = pool != host.pool;
-        const bool gives = current.sparePools.contains(pool) || (lent && current.surplus(pool) > 0);
+        const bool gives = (lent || current.sparePools.contains(pool)) && current.lendable(pool) > 0;
         if (!gives || pool == wish.pool || current.isMoving(host.name) || !current.budget.isAvailable(host.name) || !mayMoveAgain(current, host)
             || current.budget.mayGo(pool) <= 0) {
             continue;
--- a/tools/measure-fleet/spare_run.cpp
+++ b/tools/measure-fleet/spare_run.cpp
@@ -64,6 +64,7 @@
     spare_run(const deployment &fleet, const std::string &policy, std::uint64_t seed)
         : m_fleet(fleet)
         , m_random(seed)
+        , m_sparePoolWishes(policy != "fixed-peak")
         , m_queues(fleet.tables.pools.size(), fleet.tables.hosts.size(), 8, seed + 1)
         , m_bursts(fleet.tables.pools.size(), m_random)
         , m_arrivals(fleet.tables.pools.size())
@@ -209,10 +210,10 @@
             sample.running = static_cast<double>(m_queues.running(index));
             sample.runSeconds = pool_fake::meanRunSeconds;
             sample.hosts = serving[pool.name];
-            sample.homeHosts = m_home[pool.name];
+            sample.homeHosts = pool.isSpare ? static_cast<std::int64_t>(pool.minimumHosts) + 1 : m_home[pool.name];
             sample.slotsPerHost = 8;
             sample.moveTime = duration(static_cast<std::int64_t>(m_moveSeconds * 1e6));
-            if (!pool.isSpare) {
+            if (!pool.isSpare || m_sparePoolWishes) {
                 wishes.push_back(decideWish(m_policies[index], pool.name, sample, time_point(sinceStart)));
             }
         }
@@ -249,6 +250,7 @@
 
     const deployment &m_fleet;
     std::mt19937_64 m_random;
+    bool m_sparePoolWishes; /**< Whether the spare pool asks for hosts in its own bursts; static provisioning keeps its peak at home. */
     pool_fake m_queues;
     burst_schedule m_bursts;
     std::vector<double> m_arrivals;
