Measure how memory and processor time grow with state

Cause: the arithmetic for the two-year size needs slopes of the real code.

A measurement is a class in its own file with one registration line.

--- /dev/null
+++ b/tools/measure-slopes/main.cpp
@@ -0,0 +1,69 @@
+#include "measure.h"
+#include "measurement_registry.h"
+#include "process_usage.h"
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+
+#include <cstdio>
+#include <iostream>
+
+namespace {
+
+using namespace parsleyglade;
+
+nlohmann::json toJson(const measurement &measured, const slope &each)
+{
+    return {{"measurement", measured.name()}, {"sizeUnit", measured.sizeUnit()}, {"figure", each.figure()}, {"unit", each.unit()},
+            {"points", each.points()},        {"perSize", each.perSize()},       {"atZero", each.atZero()}, {"largestDeviation", each.largestDeviation()}};
+}
+
+void print(const measurement &measured, const std::vector<slope> &slopes)
+{
+    std::printf("%s, by %s\n", measured.name().c_str(), measured.sizeUnit().c_str());
+    for (const slope &each : slopes) {
+        std::printf("  %s, %s:", each.figure().c_str(), each.unit().c_str());
+        for (const auto &[size, value] : each.points()) {
+            std::printf("  %.0f → %.6g", size, value);
+        }
+        std::printf("\n    %.4g + %.4g × size, at most %.1f %% of the largest off the line\n", each.atZero(), each.perSize(), each.largestDeviation() * 100);
+    }
+}
+
+} // namespace
+
+/** Measures the costs of state of growing size with the project's own code. */
+int main(int argc, char *argv[])
+{
+    CLI::App application("Measures memory and processor time for state of growing size and prints their slopes.");
+    bool printsJson = false;
+    std::string only;
+    double minimumMilliseconds = 100;
+    application.add_flag("--json", printsJson, "print JSON");
+    application.add_option("--only", only, "run only measurements whose name contains this text");
+    application.add_option("--minimum-milliseconds", minimumMilliseconds, "processor time over which each operation is repeated")
+        ->check(CLI::Range(1.0, 60'000.0))
+        ->capture_default_str();
+    CLI11_PARSE(application, argc, argv);
+
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto &each : measurement_registry::all()) {
+        if (each->name().find(only) == std::string::npos) {
+            continue;
+        }
+        const std::vector<slope> slopes = measure(*each, minimumMilliseconds);
+        for (const slope &figure : slopes) {
+            list.push_back(toJson(*each, figure));
+        }
+        if (!printsJson) {
+            print(*each, slopes);
+        }
+    }
+
+    if (printsJson) {
+        std::cout << nlohmann::json{{"slopes", list}, {"peakResidentBytes", peakResidentBytes()}}.dump(2) << '\n';
+    } else {
+        std::printf("largest resident size of the process: %lld bytes\n", static_cast<long long>(peakResidentBytes()));
+    }
+    return list.empty() ? 1 : 0;
+}
