--- a/src/tables/pool_table.cpp
+++ b/src/tables/pool_table.cpp
@@ -4,6 +4,24 @@
 
 namespace parsleyglade {
 
+namespace {
+
+std::string serialize(const std::vector<pool> &pools)
+{
+    nlohmann::json entries = nlohmann::json::array();
+    for (const pool &each : pools) {
+        entries.push_back(toJson(each));
+    }
+    return nlohmann::json{{"pools", std::move(entries)}}.dump();
+}
+
+} // namespace
+
+pool_table::pool_table()
+    : pool_table(std::vector<pool>())
+{
+}
+
 pool_table::pool_table(std::vector<pool> pools)
     : m_pools(std::move(pools))
 {
@@ -17,6 +35,7 @@
     }
 
     std::sort(m_byHost.begin(), m_byHost.end(), [this](position left, position right) { return hostAt(left).host < hostAt(right).host; });
+    m_canonicalJson = serialize(m_pools);
 }
 
 const std::vector<pool> &pool_table::pools() const
@@ -47,13 +66,9 @@
     return m_byHost.size();
 }
 
-std::string pool_table::canonicalJson() const
+const std::string &pool_table::canonicalJson() const
 {
-    nlohmann::json entries = nlohmann::json::array();
-    for (const pool &each : m_pools) {
-        entries.push_back(toJson(each));
-    }
-    return nlohmann::json{{"pools", std::move(entries)}}.dump();
+    return m_canonicalJson;
 }
 
 const pool_host &pool_table::hostAt(position place) const
--- a/src/tables/pool_table.h
+++ b/src/tables/pool_table.h
@@ -10,7 +10,7 @@
 class pool_table
 {
 public:
-    pool_table() = default;
+    pool_table();
     explicit pool_table(std::vector<pool> pools);
 
     /** Every pool in order of name. */
@@ -29,7 +29,7 @@
     std::size_t hostCount() const;
 
     /** Canonical JSON: entries by name, hosts by host name, keys sorted, no spaces. Equal tables give equal text. */
-    std::string canonicalJson() const;
+    const std::string &canonicalJson() const;
 
     friend bool operator==(const pool_table &, const pool_table &) = default;
 
@@ -46,6 +46,7 @@
     const position *findPosition(std::string_view host) const;
 
     std::vector<pool> m_pools;
+    std::string m_canonicalJson;
     std::vector<position> m_byHost; /**< Ordered by host name. */
 };
 
--- a/src/tables/route_table.cpp
+++ b/src/tables/route_table.cpp
@@ -13,8 +13,22 @@
     return {value.path, value.method};
 }
 
+std::string serialize(const std::vector<route> &routes)
+{
+    nlohmann::json entries = nlohmann::json::array();
+    for (const route &each : routes) {
+        entries.push_back(toJson(each));
+    }
+    return nlohmann::json{{"routes", std::move(entries)}}.dump();
+}
+
 } // namespace
 
+route_table::route_table()
+    : route_table(std::vector<route>())
+{
+}
+
 route_table::route_table(std::vector<route> routes)
     : m_routes(std::move(routes))
     , m_byPath(m_routes.size())
@@ -23,6 +37,7 @@
     std::iota(m_byPath.begin(), m_byPath.end(), std::size_t{0});
     std::sort(m_byPath.begin(), m_byPath.end(),
               [this](std::size_t left, std::size_t right) { return pathAndMethod(m_routes[left]) < pathAndMethod(m_routes[right]); });
+    m_canonicalJson = serialize(m_routes);
 }
 
 const std::vector<route> &route_table::routes() const
@@ -51,13 +66,9 @@
     return found != m_byPath.end() && m_routes[*found].path == path;
 }
 
-std::string route_table::canonicalJson() const
+const std::string &route_table::canonicalJson() const
 {
-    nlohmann::json entries = nlohmann::json::array();
-    for (const route &each : m_routes) {
-        entries.push_back(toJson(each));
-    }
-    return nlohmann::json{{"routes", std::move(entries)}}.dump();
+    return m_canonicalJson;
 }
 
 } // namespace parsleyglade
--- a/src/tables/route_table.h
+++ b/src/tables/route_table.h
@@ -11,7 +11,7 @@
 class route_table
 {
 public:
-    route_table() = default;
+    route_table();
     explicit route_table(std::vector<route> routes);
 
     /** Every route in order of name. */
@@ -27,12 +27,13 @@
     bool hasPath(std::string_view path) const;
 
     /** Canonical JSON: entries by name, keys sorted, no spaces. Equal tables give equal text. */
-    std::string canonicalJson() const;
+    const std::string &canonicalJson() const;
 
     friend bool operator==(const route_table &, const route_table &) = default;
 
 private:
     std::vector<route> m_routes;
+    std::string m_canonicalJson;
     std::vector<std::size_t> m_byPath; /**< Positions in m_routes, ordered by path and then method. */
 };
 
