--- a/src/placement/endpoint_view.cpp
+++ b/src/placement/endpoint_view.cpp
@@ -92,8 +92,9 @@
 bool endpoint_view::hasSlot(job_class jobClass, time_point now) const
 {
     const auto [shortLoad, longLoad] = load(now);
-    const bool isWithinShare = ownInFlight() + 1 <= shareOf(m_limits.slots);
-    if (!isWithinShare && shortLoad + longLoad + 1.0 > static_cast<double>(m_limits.slots)) {
+    const auto entryHosts = static_cast<std::uint32_t>(m_peers.size() + 1);
+    const bool isWithinShare = ownInFlight() < (m_limits.slots + entryHosts - 1) / entryHosts;
+    if (!isWithinShare && shortLoad + longLoad + static_cast<double>(entryHosts) > static_cast<double>(m_limits.slots)) {
         return false;
     }
     if (jobClass == job_class::short_job) {
--- a/src/placement/endpoint_view.h
+++ b/src/placement/endpoint_view.h
@@ -82,9 +82,10 @@
     /**
      * Whether this entry host may use a slot for a job of the class.
      *
-     * It may always use its even share of the slots, whatever the others reported: entry hosts that see each other's counts late would otherwise all
-     * stop and all start together. Above its share it needs a slot that is free by the aged counts. Long jobs never exceed the entry host's share of the
-     * long slots, so old counts cannot fill an endpoint with them; with more entry hosts than long slots the aged counts alone decide.
+     * It may always use its even share of the slots, rounded up, whatever the others reported: entry hosts that see each other's counts late would
+     * otherwise all stop and all start together. Above its share it needs, by the aged counts, a free slot for itself and one for each other entry host,
+     * as the others may take one before their reports arrive. Long jobs never exceed the entry host's share of the long slots, rounded down, so old
+     * counts cannot fill an endpoint with them; with more entry hosts than long slots the aged counts alone decide.
      */
     bool hasSlot(job_class jobClass, time_point now) const;
 
