Report the urgent jobs that were not run

Cause: the wait of urgent jobs counts only those that ran.

Change: one more measure in tools/measure-policy.

--- a/tools/measure-policy/cluster_model.cpp
+++ b/tools/measure-policy/cluster_model.cpp
@@ -180,6 +180,7 @@
         m_events.add(m_jobs[job + 1].arrivedAt, event_kind::arrival, job + 1);
     }
     (arriving.isLong ? m_result.offeredLong : m_result.offeredShort) += 1;
+    m_result.offeredUrgent += arriving.urgency == urgency_class::urgent ? 1 : 0;
     m_result.offeredQuiet += !arriving.isLong && arriving.isInBurst && !arriving.isFromStorm ? 1 : 0;
     m_arrivals[arriving.pool] += 1;
     route(job);
--- a/tools/measure-policy/measurement.cpp
+++ b/tools/measure-policy/measurement.cpp
@@ -89,6 +89,7 @@
 {
     values.add("short jobs not run", "share", 1.0 - share(withLong.startedShort, withLong.offeredShort));
     values.add("short jobs not run without long", "share", 1.0 - share(withoutLong.startedShort, withoutLong.offeredShort));
+    values.add("urgent jobs not run", "share", 1.0 - share(withLong.urgentWaits.size(), withLong.offeredUrgent));
     values.add("long jobs not run", "share", 1.0 - share(withLong.startedLong, withLong.offeredLong));
     const std::uint64_t offered = withLong.offeredShort + withLong.offeredLong;
     values.add("refused", "share", share(withLong.refused(), offered));
--- a/tools/measure-policy/run_result.h
+++ b/tools/measure-policy/run_result.h
@@ -22,6 +22,7 @@
 
     std::uint64_t offeredShort = 0;
     std::uint64_t offeredLong = 0;
+    std::uint64_t offeredUrgent = 0; /**< Urgent jobs; they are short. */
     std::uint64_t offeredQuiet = 0; /**< Short jobs in bursts from callers that do not storm. */
     std::uint64_t startedQuiet = 0;
     std::uint64_t startedShort = 0;
