Write the buckets of a window as one text in burn documents

Cause: an entry host that asks its peers for their counts reads their documents in its event loop, and one JSON value for each count made that slow.

Change: the buckets of a window are one text without zeros at the end of a bucket; parseBuckets() takes only the form that formatBuckets() writes.

--- a/src/reports/burn_document.cpp
+++ b/src/reports/burn_document.cpp
@@ -1,6 +1,7 @@
 #include "reports/burn_document.h"
 
 #include "core/json_checker.h"
+#include "reports/bucket_text.h"
 
 #include <limits>
 
@@ -12,27 +13,15 @@
 
 constexpr std::int64_t formatVersion = 1;
 constexpr std::int64_t latestMilliseconds = 253'402'300'799'999; // The end of the year 9999.
-constexpr std::int64_t largestCount = 1'000'000'000'000; // Sums over all buckets and entry hosts stay far below 2^63.
+constexpr std::int64_t largestCount = largestBucketCount;
+constexpr std::size_t longestBucketsBytes = bucketsPerWindow * (endCauseCount + 1) * 14; // Each number has at most 13 digits and a separator.
 constexpr double largestMilliseconds = 1e12;
 
-json toJson(const std::vector<count_bucket> &buckets)
-{
-    json result = json::array();
-    for (const count_bucket &each : buckets) {
-        json row = json::array({each.bucket});
-        for (std::size_t cause = 0; cause < endCauseCount; ++cause) {
-            row.push_back(each.counts.of(static_cast<end_cause>(cause)));
-        }
-        result.push_back(std::move(row));
-    }
-    return result;
-}
-
 json toJson(const service_counts &counts)
 {
     json windows = json::object();
     for (const burn_window_row &row : burnWindowTable) {
-        windows[std::string(row.name)] = toJson(counts.windows.at(static_cast<std::size_t>(row.window)));
+        windows[std::string(row.name)] = formatBuckets(counts.windows.at(static_cast<std::size_t>(row.window)));
     }
 
     json latencies = json::object();
@@ -67,28 +56,18 @@
     return wall_time(std::chrono::milliseconds(checker.integer(0, latestMilliseconds)));
 }
 
-std::vector<count_bucket> readBuckets(json_checker checker, const burn_window_row &window)
+std::vector<count_bucket> readBuckets(json_checker checker)
 {
-    std::vector<count_bucket> result;
-    for (json_checker &row : checker.elements(0, bucketsPerWindow)) {
-        std::vector<json_checker> cells = row.elements(endCauseCount + 1, endCauseCount + 1);
-        if (cells.empty()) {
-            continue;
-        }
-
-        count_bucket each{cells.front().integer(0, latestMilliseconds / window.bucketLength().count()), {}};
-        for (std::size_t cause = 0; cause < endCauseCount; ++cause) {
-            each.counts.add(static_cast<end_cause>(cause), readCount(cells.at(cause + 1)));
-        }
-        if (!result.empty() && each.bucket <= result.back().bucket) {
-            row.fail(result_code::invalid_value, "the buckets are not in ascending order");
-        }
-        result.push_back(each);
+    if (!checker.exists()) {
+        return {}; // Reported as a missing key already.
     }
-    if (!result.empty() && result.back().bucket - result.front().bucket >= bucketsPerWindow) {
-        checker.fail(result_code::invalid_value, "the buckets are further apart than the window is long");
+
+    std::optional<std::vector<count_bucket>> result = parseBuckets(checker.text(0, longestBucketsBytes));
+    if (!result) {
+        checker.fail(result_code::invalid_value, "the buckets are malformed, not ascending or further apart than the window is long");
+        return {};
     }
-    return result;
+    return *std::move(result);
 }
 
 latency_quantiles readQuantiles(json_checker checker)
@@ -121,7 +100,7 @@
     json_checker windows = checker.member("windows");
     windows.checkObject({"5m", "30m", "1h", "6h", "3d"});
     for (const burn_window_row &row : burnWindowTable) {
-        result.windows.at(static_cast<std::size_t>(row.window)) = readBuckets(windows.member(row.name), row);
+        result.windows.at(static_cast<std::size_t>(row.window)) = readBuckets(windows.member(row.name));
     }
 
     json_checker latencies = checker.member("latencies");
--- a/src/reports/burn_document.h
+++ b/src/reports/burn_document.h
@@ -40,7 +40,7 @@
 /** Most notes of a document. */
 constexpr std::size_t maximumReportNotes = 256;
 
-/** The document as JSON. Each bucket is an array of its number and its counts in the order of end_cause. */
+/** The document as JSON. The buckets of a window are one text. @see formatBuckets */
 nlohmann::json toJson(const burn_document &document);
 
 /** Checks and reads a document's text. Fails with every fault found; never throws. */
--- a/tests/reports/hostile_input_test.cpp
+++ b/tests/reports/hostile_input_test.cpp
@@ -1,4 +1,5 @@
 #include "random_events.h"
+#include "reports/bucket_text.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -82,6 +83,46 @@
     rc::prop("for random bytes", [](const std::string &text) { RC_ASSERT(!parseBurnDocument(text)); });
 }
 
+// Guards against buckets that are read as others, in two forms of the same counts or beyond the limits.
+TEST_CASE("the text of buckets has one form")
+{
+    CHECK(parseBuckets("")->empty());
+    CHECK(parseBuckets("7 1,0,2;9 0,3")->size() == 2);
+    for (const char *text : {"7",
+                             "7 ",
+                             "7 1;",
+                             ";7 1",
+                             "7 1,",
+                             "7 0",
+                             "7 1,0",
+                             "7 01",
+                             "07 1",
+                             "-7 1",
+                             "7 -1",
+                             "7 1 ",
+                             "7 1;7 1",
+                             "9 1;7 1",
+                             "7 1;38 1",
+                             "7 1,2,3,4,5,6,7",
+                             "7 1000000000001",
+                             "100000000001 1",
+                             "99999999999999999999 1",
+                             "7 1.5"}) {
+        INFO(text);
+        CHECK_FALSE(parseBuckets(text));
+    }
+    rc::prop("and mutated texts are refused or written back the same", [](std::uint64_t seed) {
+        std::mt19937_64 random(seed);
+        std::string text = "29939040 12,0,1;29939042 3;29939050 0,0,0,0,0,1";
+        for (int change = 0; change < 2; ++change) {
+            text.at(random() % text.size()) = "0123456789 ,;-x"[random() % 15];
+        }
+        const auto parsed = parseBuckets(text);
+        const bool isSame = !parsed || formatBuckets(*parsed) == text;
+        RC_ASSERT(isSame);
+    });
+}
+
 // Guards against markup and terminal sequences that a name smuggles into a page.
 TEST_CASE("hostile names are escaped in every rendering")
 {
