--- a/tests/reports/hostile_input_test.cpp
+++ b/tests/reports/hostile_input_test.cpp
@@ -1,4 +1,5 @@
 #include "random_events.h"
+#include "reports/bucket_text.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -82,6 +83,73 @@
     rc::prop("for random bytes", [](const std::string &text) { RC_ASSERT(!parseBurnDocument(text)); });
 }
 
+// Guards against documents of another form or that count a service twice, and against values outside the limits.
+TEST_CASE("documents that contradict the form are refused")
+{
+    std::mt19937_64 random(3);
+    const nlohmann::json valid = nlohmann::json::parse(validDocument(random));
+    REQUIRE(parseBurnDocument(valid.dump()).hasValue());
+    const std::vector<std::pair<std::string, nlohmann::json>> changes{
+        {"/version", 2},
+        {"/services/1", valid.at("services").at(0)},
+        {"/services/0/objective", 1},
+        {"/services/0/windows/5m", "7 0"},
+        {"/services/0/latencies/short/milliseconds", nlohmann::json::array({1, 2, 3})},
+        {"/services/0/latencies/short/count", -1},
+        {"/notes/0/kind", "other"},
+        {"/entryHost", ""},
+        {"/surplus", 1},
+    };
+    for (const auto &[pointer, value] : changes) {
+        nlohmann::json changed = valid;
+        changed[nlohmann::json::json_pointer(pointer)] = value;
+        const auto parsed = parseBurnDocument(changed.dump());
+        INFO(pointer);
+        REQUIRE_FALSE(parsed);
+        CHECK(parsed.failures().front().pointer.starts_with(pointer));
+    }
+}
+
+// Guards against buckets that are read as others, in two forms of the same counts or beyond the limits.
+TEST_CASE("the text of buckets has one form")
+{
+    CHECK(parseBuckets("")->empty());
+    CHECK(parseBuckets("7 1,0,2;9 0,3")->size() == 2);
+    for (const char *text : {"7",
+                             "7 ",
+                             "7 1;",
+                             ";7 1",
+                             "7 1,",
+                             "7 0",
+                             "7 1,0",
+                             "7 01",
+                             "07 1",
+                             "-7 1",
+                             "7 -1",
+                             "7 1 ",
+                             "7 1;7 1",
+                             "9 1;7 1",
+                             "7 1;38 1",
+                             "7 1,2,3,4,5,6,7",
+                             "7 1000000000001",
+                             "100000000001 1",
+                             "99999999999999999999 1",
+                             "7 1.5"}) {
+        INFO(text);
+        CHECK_FALSE(parseBuckets(text));
+    }
+    rc::prop("and mutated texts are refused or written back the same", [](std::uint64_t seed) {
+        std::mt19937_64 random(seed);
+        std::string text = "29939040 12,0,1;29939042 3;29939050 0,0,0,0,0,1";
+        for (int change = 0; change < 2; ++change) {
+            text.at(random() % text.size()) = "0123456789 ,;-x"[random() % 15];
+        }
+        const auto parsed = parseBuckets(text);
+        const bool isSame = !parsed || formatBuckets(*parsed) == text;
+        RC_ASSERT(isSame);
+    });
+}
+
 // Guards against markup and terminal sequences that a name smuggles into a page.
 TEST_CASE("hostile names are escaped in every rendering")
 {
