--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -45,7 +45,7 @@
     result_code_row{result_code::cancelled, "cancelled", 409, "The job was cancelled before it was sent."},
     result_code_row{result_code::endpoint_refused, "endpoint_refused", 503, "Retry after the stated time."},
     result_code_row{result_code::key_in_future, "key_in_future", 400, "Correct the caller's clock; the key's time lies in the future."},
-    result_code_row{result_code::coordinator_unreachable, "home_unreachable", 503, "Retry after the stated time with the same key."},
+    result_code_row{result_code::coordinator_unreachable, "coordinator_unreachable", 503, "Retry after the stated time with the same key."},
     result_code_row{result_code::method_not_allowed, "method_not_allowed", 405, "Use a method that the path allows."},
     result_code_row{result_code::job_not_found, "job_not_found", 404, "No job of this caller with this key is known."},
     result_code_row{result_code::too_many_connections, "too_many_connections", 503, "Close idle connections and retry after the stated time."},
