Close gaps in the tests of the reports

Cause: deliberate faults in the sources showed gaps: of eleven, seven passed the tests (oldest bucket after a clock set back, ends from the time ahead, the window before a change, an older document that replaces a newer one, a latency estimate that never restarts, a service named twice, a smaller threshold).

Change: the tests check exact buckets, the time of the document that counts, the exact counts around a change, latencies over several restarts, and a table of documents that contradict the form.

Conclusion: each of the eleven faults now fails a test.

--- a/tests/reports/burn_report_test.cpp
+++ b/tests/reports/burn_report_test.cpp
@@ -74,6 +74,9 @@
         RC_ASSERT(renderText(merged) == renderText(expected));
         RC_ASSERT(renderHtml(merged) == renderHtml(expected));
         RC_ASSERT(merged.sources.size() == hostCount);
+        for (const burn_summary::source &each : merged.sources) {
+            RC_ASSERT(each.takenAt == ends.back().at); // Not that of the older copy.
+        }
     });
 }
 
@@ -162,10 +165,13 @@
     service_recorder recorder("entry-1", incarnation_id{1}, testStart);
     recorder.setObjectives(3, {{"s", 0.99}}, testStart);
     for (int minute = 0; minute < 300; ++minute) {
-        const bool fails = minute >= 200 && minute < 210;
+        const bool failsAtRandom = minute == 75 || minute == 80 || (minute >= 100 && minute < 105); // From 2 to 5, in 24 min each.
+        const bool failsAfterWave = minute >= 200 && minute < 215;
+        const bool failsBeforeWave = minute >= 160 && minute < 200 && minute % 4 == 0;
+        const bool fails = failsAtRandom || failsAfterWave || failsBeforeWave;
         recorder.add("s", {result_code::ok, fails ? 500 : 200}, testStart + std::chrono::minutes(minute));
     }
-    recorder.addNote({testStart + 60min, event_kind::revision, "revision 3", "accepted", {}});
+    recorder.addNote({testStart + 100min, event_kind::revision, "revision 3", "accepted", {}});
     recorder.addNote({testStart + 199min, event_kind::wave, "wave-7", "started", {}});
     recorder.addNote({testStart + 200min, event_kind::move, "host-1", "leaves", "another"});
     recorder.addNote({testStart + 250min, event_kind::drain, "rack-2", "ended", {}});
@@ -182,6 +188,7 @@
     CHECK(summary.notes.size() == 4);
     REQUIRE(service.coincidences.size() == 1);
     CHECK(service.coincidences.at(0).note.subject == "wave-7");
-    CHECK(service.coincidences.at(0).spentAfter == 10);
-    CHECK(service.coincidences.at(0).spentBefore == 0);
+    CHECK(service.coincidences.at(0).bucketLength == 12min);
+    CHECK(service.coincidences.at(0).spentAfter == 17); // From 192 to 215 min.
+    CHECK(service.coincidences.at(0).spentBefore == 6); // From 168 to 191 min.
 }
--- a/tests/reports/hostile_input_test.cpp
+++ b/tests/reports/hostile_input_test.cpp
@@ -83,6 +83,33 @@
     rc::prop("for random bytes", [](const std::string &text) { RC_ASSERT(!parseBurnDocument(text)); });
 }
 
+// Guards against documents of another form or that count a service twice, and against values outside the limits.
+TEST_CASE("documents that contradict the form are refused")
+{
+    std::mt19937_64 random(3);
+    const nlohmann::json valid = nlohmann::json::parse(validDocument(random));
+    REQUIRE(parseBurnDocument(valid.dump()).hasValue());
+    const std::vector<std::pair<std::string, nlohmann::json>> changes{
+        {"/version", 2},
+        {"/services/1", valid.at("services").at(0)},
+        {"/services/0/objective", 1},
+        {"/services/0/windows/5m", "7 0"},
+        {"/services/0/latencies/short/milliseconds", nlohmann::json::array({1, 2, 3})},
+        {"/services/0/latencies/short/count", -1},
+        {"/notes/0/kind", "other"},
+        {"/entryHost", ""},
+        {"/surplus", 1},
+    };
+    for (const auto &[pointer, value] : changes) {
+        nlohmann::json changed = valid;
+        changed[nlohmann::json::json_pointer(pointer)] = value;
+        const auto parsed = parseBurnDocument(changed.dump());
+        INFO(pointer);
+        REQUIRE_FALSE(parsed);
+        CHECK(parsed.failures().front().pointer.starts_with(pointer));
+    }
+}
+
 // Guards against buckets that are read as others, in two forms of the same counts or beyond the limits.
 TEST_CASE("the text of buckets has one form")
 {
--- a/tests/reports/service_recorder_test.cpp
+++ b/tests/reports/service_recorder_test.cpp
@@ -78,7 +78,12 @@
     burn_report report;
     report.add(recorder.document(testStart));
     for (const burn_window_row &row : burnWindowTable) {
-        CHECK(report.summary(testStart).services.at(0).in(row.window).counts.total() == 2);
+        const auto held = recorder.document(testStart).services.at(0).windows.at(static_cast<std::size_t>(row.window));
+        REQUIRE(held.size() == 2);
+        CHECK(held.front().bucket == row.bucketOf(testStart + 240h) - bucketsPerWindow + 1);
+        const window_burn window = report.summary(testStart).services.at(0).in(row.window);
+        CHECK(window.counts.total() == 2);
+        CHECK(window.buckets.back().bucket == row.bucketOf(testStart));
         CHECK(report.summary(testStart + 400h).services.at(0).in(row.window).counts.total() == 0);
     }
 }
@@ -152,7 +157,14 @@
     CHECK(uniform.milliseconds.at(2) == Approx(990).margin(10));
     CHECK(uniform.milliseconds.at(3) == Approx(999).margin(2));
 
+    addLatency(1ms, testStart + 59min, latency_class::short_job);
+    CHECK(quantilesOf(latency_class::short_job, testStart + 59min).count == 20'001);
+
     addLatency(1ms, testStart + 61min, latency_class::short_job);
-    CHECK(quantilesOf(latency_class::short_job, testStart + 61min) == latency_quantiles{1, {1, 1, 1, 1}});
+    CHECK(quantilesOf(latency_class::short_job, testStart + 61min) == latency_quantiles{2, {1, 1, 1, 1}});
+    CHECK(quantilesOf(latency_class::short_job, testStart + 91min).count == 1);
+
+    addLatency(1ms, testStart + 221min, latency_class::short_job);
+    CHECK(quantilesOf(latency_class::short_job, testStart + 221min) == latency_quantiles{1, {1, 1, 1, 1}});
     CHECK(quantilesOf(latency_class::short_job, testStart + 30h).count == 0);
 }
