--- a/tests/reports/service_recorder_test.cpp
+++ b/tests/reports/service_recorder_test.cpp
@@ -160,7 +160,11 @@
     addLatency(1ms, testStart + 59min, latency_class::short_job);
     CHECK(quantilesOf(latency_class::short_job, testStart + 59min).count == 20'001);
 
-    addLatency(1ms, testStart + 121min, latency_class::short_job);
-    CHECK(quantilesOf(latency_class::short_job, testStart + 121min) == latency_quantiles{1, {1, 1, 1, 1}});
+    addLatency(1ms, testStart + 61min, latency_class::short_job);
+    CHECK(quantilesOf(latency_class::short_job, testStart + 61min) == latency_quantiles{2, {1, 1, 1, 1}});
+    CHECK(quantilesOf(latency_class::short_job, testStart + 91min).count == 1);
+
+    addLatency(1ms, testStart + 221min, latency_class::short_job);
+    CHECK(quantilesOf(latency_class::short_job, testStart + 221min) == latency_quantiles{1, {1, 1, 1, 1}});
     CHECK(quantilesOf(latency_class::short_job, testStart + 30h).count == 0);
 }
