Serve burn reports and metrics from the entry hosts

Cause: operators need the budget of each service from all entry hosts, and the client expected a burn document of its own shape.

Change: service_report counts ends of jobs and notes drains, moves, waves and revisions; /v1/burn as JSON, text and page from all entry hosts with the missing ones named; /metrics.

--- a/src/entry/admin_answers.cpp
+++ b/src/entry/admin_answers.cpp
@@ -12,6 +12,11 @@
 http_response adminRefusal(const std::vector<failure> &failures, nlohmann::json body)
 {
     assert(!failures.empty());
+    const result_code_row &first = describe(failures.front().code);
+    body["code"] = static_cast<int>(first.code);
+    body["name"] = first.name;
+    body["reason"] = failures.front().reason;
+    body["remedy"] = first.remedy;
     body["failures"] = nlohmann::json::array();
     for (const failure &each : failures) {
         const result_code_row &row = describe(each.code);
--- a/src/entry/admin_fleet.cpp
+++ b/src/entry/admin_fleet.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t maximumReasonBytes = 1024;
 constexpr std::int64_t largestExact = (std::int64_t{1} << 53) - 1;
 constexpr int statusOk = 200;
+constexpr int statusCreated = 201;
 
 drain_scope scopeOf(const std::string &kind)
 {
@@ -84,7 +85,7 @@
             exchange->respond(adminRefusal(result.failures()));
             return;
         }
-        exchange->respond(adminAnswer(statusOk, {{"id", std::to_string(*result)}, {"hosts", hosts}}));
+        exchange->respond(adminAnswer(statusCreated, {{"id", std::to_string(*result)}, {"hosts", hosts}}));
     });
 }
 
--- a/src/entry/admin_task.cpp
+++ b/src/entry/admin_task.cpp
@@ -39,6 +39,7 @@
 
 admin_task::admin_task(admin_context context)
     : m_context(std::move(context))
+    , m_report(m_context)
     , m_server(
           m_context.loop, makeServerSettings(m_context.settings), [this](const exchange_pointer &exchange) { handle(exchange); },
           [](result_code code) {
@@ -72,6 +73,10 @@
         exchange->respond(adminAnswer(isReady ? statusOk : statusNotReady, {{"ready", isReady}}));
         return;
     }
+    if (request.path == "/metrics") {
+        exchange->respond({statusOk, {{"Content-Type", metricsContentType}}, m_report.metricsPage()});
+        return;
+    }
     if (!isAuthorized(request)) {
         exchange->respond(adminRefusal({{result_code::not_authenticated, "the operator token is missing or wrong", {}}}));
         return;
@@ -90,6 +95,8 @@
         sendStatus(exchange);
     } else if (path == "/v1/tables") {
         sendTables(exchange);
+    } else if (path == "/v1/burn") {
+        sendBurn(exchange);
     } else {
         return false;
     }
@@ -178,15 +185,41 @@
     wanted.pools = body["pools"].dump();
     m_context.configuration.publish(wanted, [exchange](const publish_result &result) {
         if (result.accepted) {
-            exchange->respond(adminAnswer(statusOk, {{"accepted", true}, {"revision", result.revision}}));
+            exchange->respond(adminAnswer(statusOk, {{"revision", result.revision}}));
             return;
         }
-        exchange->respond(adminRefusal(result.failures, {{"accepted", false}, {"decided", result.decided}, {"revision", result.revision}}));
+        exchange->respond(adminRefusal(result.failures, {{"currentRevision", result.revision}}));
+    });
+}
+
+void admin_task::sendBurn(const exchange_pointer &exchange)
+{
+    gatherDocuments(m_context.loop, m_context.peers, registeredEntryHosts(), "burn", [this, exchange](const gathered_documents &others) {
+        const burn_summary summary = m_report.summary(others);
+        const std::string &query = exchange->request().query;
+        if (query == "format=html") {
+            exchange->respond({statusOk, {{"Content-Type", "text/html; charset=utf-8"}}, renderHtml(summary)});
+        } else if (query == "format=text") {
+            exchange->respond({statusOk, {{"Content-Type", "text/plain; charset=utf-8"}}, renderText(summary)});
+        } else {
+            exchange->respond({statusOk, {{"Content-Type", "application/json"}}, renderJson(summary)});
+        }
     });
 }
 
-void admin_task::jobEnded(const job &ended, const job_outcome &outcome, duration)
+void admin_task::tablesChanged()
+{
+    m_report.tablesChanged();
+}
+
+void admin_task::fleetChanged()
+{
+    m_report.fleetChanged();
+}
+
+void admin_task::jobEnded(const job &ended, const job_outcome &outcome, duration elapsed)
 {
+    m_report.jobEnded(ended, outcome, elapsed);
     if (outcome.code != result_code::ok) {
         m_refusals.forgetOld(m_context.loop.wallNow());
         m_refusals.add(ended.via.pool, outcome.code, outcome.reason, m_context.loop.wallNow());
@@ -200,7 +233,8 @@
     }
 
     wire::document_reply document;
-    document.json = message.document.document == "status" ? makeOwnStatus(m_context, m_refusals).dump() : std::string("null");
+    const bool isStatus = message.document.document == "status";
+    document.json = (isStatus ? makeOwnStatus(m_context, m_refusals) : m_report.document()).dump(-1, ' ', false, json::error_handler_t::replace);
     wire::peer_message answer;
     answer.__set_documentReply(document);
     reply(answer);
--- a/src/entry/admin_task.h
+++ b/src/entry/admin_task.h
@@ -3,6 +3,7 @@
 #include "entry/admin_context.h"
 #include "entry/document_gatherer.h"
 #include "entry/refusal_counter.h"
+#include "entry/service_report.h"
 #include "transport/transport.h"
 
 #include <nlohmann/json.hpp>
@@ -25,6 +26,12 @@
     /** Listens. Fails when the address can't be bound. */
     outcome<std::uint16_t> start();
 
+    /** Another revision is in force. */
+    void tablesChanged();
+
+    /** The fleet's state has changed. */
+    void fleetChanged();
+
     /** Counts a job that has been answered. */
     void jobEnded(const job &ended, const job_outcome &outcome, duration elapsed);
 
@@ -43,6 +50,7 @@
 
     void sendStatus(const exchange_pointer &exchange);
     void sendTables(const exchange_pointer &exchange);
+    void sendBurn(const exchange_pointer &exchange);
     void publish(const exchange_pointer &exchange, const nlohmann::json &body);
 
     // Drains and waves, in admin_fleet.cpp.
@@ -57,6 +65,7 @@
 
     admin_context m_context;
     refusal_counter m_refusals;
+    service_report m_report;
     http_server m_server;
 };
 
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -46,7 +46,10 @@
     m_configuration.onChange([this] { tablesChanged(); });
     m_fleet.setObservationSource([this](const std::string &host) { return m_endpoints.observation(host); });
     m_fleet.onPoolChange([this](const std::string &host) { m_endpoints.notePoolChange(host); });
-    m_fleet.onChange([this] { m_jobs.dispatch().refresh(); });
+    m_fleet.onChange([this] {
+        m_jobs.dispatch().refresh();
+        m_admin.fleetChanged();
+    });
     m_jobs.setEndObserver([this](const job &ended, const job_outcome &outcome, duration elapsed) { m_admin.jobEnded(ended, outcome, elapsed); });
 }
 
@@ -97,6 +100,7 @@
     m_endpoints.setTables(published);
     m_callers.setTables(published);
     m_jobs.setTables(published);
+    m_admin.tablesChanged();
 }
 
 bool entry_daemon::isReady() const
--- a/src/entry/fleet_task.cpp
+++ b/src/entry/fleet_task.cpp
@@ -134,6 +134,13 @@
 void fleet_task::append(wire::fleet_record record, record_callback done)
 {
     const std::int64_t id = record.record;
+    // The command may have been sent to another entry host before.
+    const auto known = m_fold.verdict(id);
+    if (known && known->isApplied) {
+        m_loop.post([done = std::move(done), id] { done(id); });
+        return;
+    }
+
     waiting_record &waiting = m_waiting[id];
     waiting.done = std::move(done);
     const auto fail = [this, id](result_code code, const std::string &reason) {
--- a/src/operator_client/operator_commands.cpp
+++ b/src/operator_client/operator_commands.cpp
@@ -111,24 +111,6 @@
     return "routes:\n" + routes.text() + "\npools:\n" + pools.text() + "\nhosts:\n" + hosts.text();
 }
 
-std::string burnText(const json &burn)
-{
-    text_columns columns({"service", "objective", "window h", "good", "bad", "burn rate", "budget left"});
-    for (const json &service : arrayField(burn, "services")) {
-        for (const json &window : arrayField(service, "windows")) {
-            columns.add({textField(service, "service"), json(numberField(service, "objective")).dump(), json(numberField(window, "hours")).dump(),
-                         std::to_string(integerField(window, "good")), std::to_string(integerField(window, "bad")),
-                         json(numberField(window, "burnRate")).dump(), json(numberField(service, "budgetRemaining")).dump()});
-        }
-    }
-
-    std::string text = columns.text();
-    for (const json &missing : arrayField(burn, "missing")) {
-        text += "not included: " + textField(missing, "name") + " (" + textField(missing, "reason") + ")\n";
-    }
-    return text;
-}
-
 } // namespace
 
 operator_commands::operator_commands(admin_client &client, command_output output, std::mt19937_64 random)
@@ -308,8 +290,9 @@
 exit_code operator_commands::reportBurn(const std::string &htmlFile)
 {
     if (htmlFile.empty()) {
-        const reply answer = ask({"GET", "/v1/burn", {}});
-        return answer.code == exit_code::ok ? writeResult(answer.body, burnText(answer.body)) : answer.code;
+        // The service renders the text, as it does the page, so that every reader sees the same report.
+        const reply answer = ask({"GET", m_output.json ? "/v1/burn" : "/v1/burn?format=text", {}}, m_output.json);
+        return answer.code == exit_code::ok ? writeResult(answer.body, answer.answer.body) : answer.code;
     }
 
     const reply answer = ask({"GET", "/v1/burn?format=html", {}}, false);
