Weigh the move cost of the queue model higher, and return hosts sooner

Cause: bursts last 8 s on average and a move 3 to 4 s, in which the host serves nobody. A move paid for by one move time arrived late, and a host that was kept for 60 s was missing where the next burst came, above all in the spare pool.

Change: moveCostFactor 1 -> 4 and holdTime 60 s -> 2 s.

--- a/src/fleet/queue_model_policy.h
+++ b/src/fleet/queue_model_policy.h
@@ -11,7 +11,7 @@
  *
  * The hosts needed follow from the offered load by square-root staffing, plus what clears the waiting work within clearTime.
  * Hysteresis: lent hosts stay until they have not been needed for holdTime. Move cost: a host is wanted only if the burst is expected
- * to outlast a move by moveCostFactor.
+ * to last moveCostFactor times as long as a move, because a host that drains serves nobody and its lender may burst next.
  */
 class queue_model_policy
 {
@@ -20,8 +20,8 @@
     {
         double staffingMargin = 1.0; /**< Square roots of the offered load. */
         duration clearTime = std::chrono::seconds(2);
-        duration holdTime = std::chrono::seconds(60);
-        double moveCostFactor = 1.0; /**< Move times. */
+        duration holdTime = std::chrono::seconds(2);
+        double moveCostFactor = 4.0; /**< Move times. */
         double smoothing = 0.6; /**< Weight of the newest rate, 0 to 1. */
     };
 
