Run pool moves and maintenance waves in the entry daemon

Cause: the decisions of the fleet module were not on the real path, and the answer for a claim that the log has not decided was worked out twice.

Change: planner_task runs the move planner with the queue model and the wave runner each second at the entry host that rendezvous hashing selects; heartbeats carry each pool's figures and the unhealthy hosts of the sender's data centre. A host of a data centre that nobody hears counts as down. The ledger's isProvisional now decides when not-run becomes outcome-unknown.

Remaining: the platform's reboot of a drained host is seen through the host list; nothing asks the platform for it yet. Waves use a burn rate of 0.

--- a/idl/parsleyglade.thrift
+++ b/idl/parsleyglade.thrift
@@ -122,6 +122,14 @@
     3: i32 longInFlight
 }
 
+struct pool_load {
+    1: string pool
+    2: i64 arrivals            // since the process started
+    3: i32 queued
+    4: i32 running
+    5: i64 runMicroseconds     // learned mean run time of short jobs
+}
+
 struct heartbeat {
     1: i64 incarnation
     2: i64 configurationRevision
@@ -132,6 +140,8 @@
     7: bool logReachable
     8: list<endpoint_load> loads
     9: i64 sentMicroseconds
+    10: list<pool_load> pools
+    11: list<string> unhealthyHosts   // of the sender's data centre
 }
 
 enum claim_verdict {
--- a/src/entry/admin_context.h
+++ b/src/entry/admin_context.h
@@ -8,6 +8,7 @@
 #include "entry/fleet_task.h"
 #include "entry/job_task.h"
 #include "entry/peer_task.h"
+#include "entry/planner_task.h"
 
 #include <functional>
 
@@ -24,6 +25,7 @@
     fleet_task &fleet;
     endpoint_task &endpoints;
     job_task &jobs;
+    planner_task &planner;
     caller_task &callers;
     std::function<bool()> isReady;
 };
--- a/src/entry/admin_fleet.cpp
+++ b/src/entry/admin_fleet.cpp
@@ -103,17 +103,6 @@
     });
 }
 
-fleet_health admin_task::health() const
-{
-    fleet_health health;
-    for (const fleet_host &host : m_context.fleet.publishedHosts().hosts) {
-        // Hosts of other data centres are not probed from here; their entry hosts' probes decide before each drain.
-        const bool isNear = host.dataCentre == m_context.settings.dataCentre;
-        health[host.name] = isNear ? healthOf(m_context.endpoints.observation(host.name), m_context.loop.now()) : host_health::healthy;
-    }
-    return health;
-}
-
 void admin_task::planWave(const exchange_pointer &exchange, const json &body)
 {
     std::vector<failure> failures;
@@ -134,7 +123,8 @@
             && (dataCentres.empty() || dataCentres.contains(host.dataCentre));
         return isNamed;
     };
-    const wave_plan plan = wave_planner(wave_settings{}).planCycle(m_context.fleet.publishedHosts(), m_context.fleet.fold().state(), health(), isSelected);
+    const wave_plan plan
+        = wave_planner(wave_settings{}).planCycle(m_context.fleet.publishedHosts(), m_context.fleet.fold().state(), m_context.planner.health(), isSelected);
     if (!plan.blocked.empty() || plan.batches.empty()) {
         std::string names;
         for (const std::string &host : plan.blocked) {
--- a/src/entry/admin_task.h
+++ b/src/entry/admin_task.h
@@ -59,7 +59,6 @@
     void planWave(const exchange_pointer &exchange, const nlohmann::json &body);
     void changeWave(const exchange_pointer &exchange, const std::string &wave, const std::string &action);
     void appendWave(const exchange_pointer &exchange, const std::string &wave, const wire::fleet_record &record);
-    fleet_health health() const;
 
     std::vector<std::string> registeredEntryHosts() const;
 
--- a/src/entry/dispatch_task.cpp
+++ b/src/entry/dispatch_task.cpp
@@ -152,6 +152,7 @@
     }
 
     pool_state &state = *found->second;
+    ++state.arrivals;
     const duration declared = std::chrono::milliseconds{offered->via.declaredRunMilliseconds};
     const run_time_estimate estimate = state.estimator.estimate(offered->via.name, declared, m_loop.now());
     queued_job waiting;
@@ -409,7 +410,7 @@
     std::vector<pool_status> rows;
     const time_point now = m_loop.now();
     for (const auto &[name, state] : m_pools) {
-        pool_status row{name, state->queue.size(), 0, 0, 0, state->estimator.meanRunTime(job_class::short_job)};
+        pool_status row{name, state->queue.size(), 0, 0, 0, state->estimator.meanRunTime(job_class::short_job), state->arrivals};
         for (const endpoint_view &endpoint : state->endpoints) {
             row.running += endpoint.ownInFlight();
             row.ejectedEndpoints += endpoint.ejection().isEjected(now) ? 1 : 0;
--- a/src/entry/dispatch_task.h
+++ b/src/entry/dispatch_task.h
@@ -43,6 +43,7 @@
         std::size_t usableEndpoints = 0;
         std::size_t ejectedEndpoints = 0;
         duration expectedRun{}; /**< Mean run time of short jobs. */
+        std::uint64_t arrivals = 0; /**< Jobs offered since the process started. */
     };
 
     dispatch_task(event_loop &loop, const entry_settings &settings, peer_task &peers, fleet_task &fleet, endpoint_task &endpoints, listener &owner);
@@ -96,6 +97,7 @@
         placement_policy policy;
         retry_budget retries;
         std::vector<endpoint_view> endpoints;
+        std::uint64_t arrivals = 0;
     };
 
     struct running_job
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -29,8 +29,9 @@
     , m_fleet(loop, m_settings, log, hostList, m_peers)
     , m_endpoints(loop, m_settings.dataCentre)
     , m_jobs(loop, m_settings, m_peers, m_claims, m_fleet, m_endpoints)
+    , m_planner(loop, m_settings, m_peers, m_fleet, m_endpoints, m_jobs.dispatch())
     , m_callers(loop, m_settings, m_jobs)
-    , m_admin({loop, m_settings, m_peers, m_claims, m_configuration, m_fleet, m_endpoints, m_jobs, m_callers, [this] {
+    , m_admin({loop, m_settings, m_peers, m_claims, m_configuration, m_fleet, m_endpoints, m_jobs, m_planner, m_callers, [this] {
                    return isReady();
                }})
 {
@@ -80,6 +81,8 @@
     beat.ready = isReady();
     beat.logReachable = m_configuration.isLogReachable();
     beat.loads = m_jobs.dispatch().loads();
+    beat.pools = m_planner.poolLoads();
+    beat.unhealthyHosts = m_planner.unhealthyHosts();
     beat.sentMicroseconds = m_loop.now().time_since_epoch().count();
     return beat;
 }
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -9,6 +9,7 @@
 #include "entry/fleet_task.h"
 #include "entry/job_task.h"
 #include "entry/peer_task.h"
+#include "entry/planner_task.h"
 #include "platform/platform.h"
 
 #include <functional>
@@ -47,6 +48,7 @@
     fleet_task m_fleet;
     endpoint_task m_endpoints;
     job_task m_jobs;
+    planner_task m_planner;
     caller_task m_callers;
     admin_task m_admin;
     bool m_isStopping = false;
--- a/src/entry/job_task.cpp
+++ b/src/entry/job_task.cpp
@@ -67,17 +67,6 @@
     return details;
 }
 
-/**
- * Whether a job that this attempt did not run may have been run by an earlier attempt with the same key.
- *
- * Before the log has decided the claim, only the attempt is certain not to have run. A caller reads "not run" as leave to send the
- * job under a new key, so the answer must hold for the job.
- */
-bool mayHaveRunBefore(std::optional<attempt_state> before, result_code code)
-{
-    return before == attempt_state::claiming && code != result_code::key_reused && code != result_code::key_in_future;
-}
-
 } // namespace
 
 job_task::job_task(event_loop &loop, const entry_settings &settings, peer_task &peers, claim_task &claims, fleet_task &fleet, endpoint_task &endpoints)
@@ -188,7 +177,6 @@
 
     active_job &active = found->second;
     const auto asked = active.accepted;
-    const auto before = m_ledger.stateOf(*asked->attempt);
     const bool isTransient = reply.verdict == wire::claim_verdict::refused && reply.code == static_cast<int>(result_code::coordinator_unreachable);
     if (isTransient && m_loop.now() + claimRetryDelay < active.claimDeadline) {
         const auto repeated = m_ledger.repeatRequest(*asked->attempt);
@@ -201,12 +189,7 @@
     }
 
     const ledger_decision decision = m_ledger.claimAnswered(*asked->attempt, reply, m_loop.now());
-    job_outcome details = outcomeOf(reply);
-    if (decision.answer == job_answer::not_run && mayHaveRunBefore(before, details.code)) {
-        follow(asked, {job_answer::outcome_unknown, decision.action, decision.code}, details);
-        return;
-    }
-    follow(asked, decision, details);
+    follow(asked, decision, outcomeOf(reply));
 }
 
 void job_task::follow(const std::shared_ptr<job> &decided, const ledger_decision &decision, const job_outcome &details)
@@ -219,8 +202,10 @@
         return;
     }
 
+    // A caller reads "not run" as leave to send the job under a new key, so it must hold for the job. Before the log has decided the
+    // claim, only this attempt is certain not to have run; an earlier one with the key may have.
     job_outcome outcome = details;
-    outcome.answer = decision.answer;
+    outcome.answer = decision.isProvisional ? job_answer::outcome_unknown : decision.answer;
     if (outcome.code == result_code::ok) {
         outcome.code = decision.code;
     }
@@ -242,12 +227,8 @@
     outcome.code = code;
     outcome.retryAfter = retryAfter;
     if (abandoned->attempt) {
-        const auto before = m_ledger.stateOf(*abandoned->attempt);
         const ledger_decision decision = m_ledger.abandon(*abandoned->attempt, code, m_loop.now());
-        outcome.answer = decision.answer == job_answer::none ? job_answer::not_run : decision.answer;
-        if (outcome.answer == job_answer::not_run && mayHaveRunBefore(before, code)) {
-            outcome.answer = job_answer::outcome_unknown;
-        }
+        outcome.answer = decision.answer == job_answer::none || decision.isProvisional ? job_answer::outcome_unknown : decision.answer;
     } else if (!abandoned->via.idempotent || abandoned->mayHaveStarted) {
         outcome.answer = job_answer::outcome_unknown;
     }
--- /dev/null
+++ b/src/entry/planner_task.cpp
@@ -0,0 +1,258 @@
+#include "entry/planner_task.h"
+
+#include "entry/rendezvous.h"
+
+#include <algorithm>
+#include <set>
+
+namespace parsleyglade {
+
+namespace {
+
+constexpr duration planInterval = std::chrono::seconds{1};
+
+/** Time for records to be appended and folded before the next plan is made on the state without them. */
+constexpr duration settleTime = std::chrono::seconds{2};
+
+constexpr duration expectedMoveTime = std::chrono::seconds{3};
+
+} // namespace
+
+planner_task::planner_task(event_loop &loop, const entry_settings &settings, peer_task &peers, fleet_task &fleet, endpoint_task &endpoints,
+                           dispatch_task &dispatch)
+    : m_loop(loop)
+    , m_peers(peers)
+    , m_fleet(fleet)
+    , m_endpoints(endpoints)
+    , m_dispatch(dispatch)
+    , m_dataCentre(settings.dataCentre)
+    , m_movePlanner(move_planner::settings{})
+    , m_waveRunner(wave_settings{})
+    , m_timer(loop.every(planInterval, [this] { plan(); }))
+{
+}
+
+std::vector<wire::pool_load> planner_task::poolLoads() const
+{
+    std::vector<wire::pool_load> loads;
+    for (const auto &row : m_dispatch.status()) {
+        wire::pool_load load;
+        load.pool = row.pool;
+        load.arrivals = static_cast<std::int64_t>(row.arrivals);
+        load.queued = static_cast<std::int32_t>(row.queued);
+        load.running = static_cast<std::int32_t>(row.running);
+        load.runMicroseconds = row.expectedRun.count();
+        loads.push_back(std::move(load));
+    }
+    return loads;
+}
+
+std::vector<std::string> planner_task::unhealthyHosts() const
+{
+    std::vector<std::string> hosts;
+    for (const fleet_host &host : m_fleet.publishedHosts().hosts) {
+        if (host.dataCentre == m_dataCentre && healthOf(m_endpoints.observation(host.name), m_loop.now()) != host_health::healthy) {
+            hosts.push_back(host.name);
+        }
+    }
+    return hosts;
+}
+
+fleet_health planner_task::health() const
+{
+    std::set<std::string> seenDataCentres{m_dataCentre};
+    std::set<std::string> unhealthy;
+    for (const peer_state &peer : m_peers.livePeers()) {
+        if (peer.identity.dataCentre != m_dataCentre && peer.beat.ready) {
+            seenDataCentres.insert(peer.identity.dataCentre);
+            unhealthy.insert(peer.beat.unhealthyHosts.begin(), peer.beat.unhealthyHosts.end());
+        }
+    }
+
+    // A host counts as down when nobody who could see it is heard: planned work must not spend a budget that may be spent already.
+    fleet_health health;
+    for (const fleet_host &host : m_fleet.publishedHosts().hosts) {
+        if (host.dataCentre == m_dataCentre) {
+            health[host.name] = healthOf(m_endpoints.observation(host.name), m_loop.now());
+        } else {
+            const bool isSeen = seenDataCentres.contains(host.dataCentre) && !unhealthy.contains(host.name);
+            health[host.name] = isSeen ? host_health::healthy : host_health::down;
+        }
+    }
+    return health;
+}
+
+bool planner_task::isSelected(const std::string &subject, const std::string &dataCentre) const
+{
+    std::vector<std::string> candidates{m_peers.self()};
+    for (const peer_state &peer : m_peers.livePeers()) {
+        if (peer.beat.ready && peer.beat.logReachable && (dataCentre.empty() || peer.identity.dataCentre == dataCentre)) {
+            candidates.push_back(peer.identity.entryHost);
+        }
+    }
+    return selectByRendezvous(subject, candidates) == m_peers.self();
+}
+
+void planner_task::plan()
+{
+    const auto figures = gatherFigures();
+    const bool isAble = m_fleet.follower().isLogReachable() && m_fleet.fold().mayPlace(m_peers.incarnation()) && m_loop.now() >= m_busyUntil;
+    if (!isAble) {
+        return;
+    }
+
+    const fleet_health seen = health();
+    availability_budget budget(m_fleet.publishedHosts(), m_fleet.fold().state(), seen);
+    planWaves(budget);
+
+    std::vector<pool_wish> wishes;
+    for (const fleet_pool &pool : m_fleet.publishedHosts().pools) {
+        const auto found = figures.find(pool.name);
+        const pool_sample sample = sampleOf(pool, found == figures.end() ? pool_figures{} : found->second);
+        const auto policy = m_policies.try_emplace(pool.name, queue_model_policy(queue_model_policy::settings{})).first;
+        wishes.push_back(decideWish(policy->second, pool.name, sample, m_loop.now()));
+    }
+    if (!isSelected("moves", {})) {
+        return;
+    }
+
+    const auto decisions
+        = m_movePlanner.plan(m_fleet.publishedHosts(), m_fleet.fold().state(), budget, wishes, std::chrono::floor<std::chrono::milliseconds>(m_loop.wallNow()));
+    const auto newRecord = [this] {
+        return static_cast<std::int64_t>(m_random() >> 1) | 1;
+    };
+    append(moveRecords(decisions, static_cast<std::int64_t>(m_peers.incarnation()), m_loop.wallNow(), newRecord));
+}
+
+std::map<std::string, planner_task::pool_figures> planner_task::gatherFigures()
+{
+    std::map<std::string, pool_figures> figures;
+    addFigures(figures, m_dataCentre, static_cast<std::int64_t>(m_peers.incarnation()), poolLoads());
+    for (const peer_state &peer : m_peers.livePeers()) {
+        addFigures(figures, peer.identity.dataCentre, static_cast<std::int64_t>(peer.identity.incarnation), peer.beat.pools);
+    }
+    return figures;
+}
+
+void planner_task::addFigures(std::map<std::string, pool_figures> &figures, const std::string &dataCentre, std::int64_t incarnation,
+                              const std::vector<wire::pool_load> &loads)
+{
+    for (const wire::pool_load &load : loads) {
+        pool_figures &pool = figures[load.pool];
+        const auto known = m_lastArrivals.try_emplace({incarnation, load.pool}, load.arrivals).first;
+        pool.arrivals += static_cast<double>(std::max<std::int64_t>(load.arrivals - known->second, 0));
+        known->second = load.arrivals;
+        pool.queued += load.queued;
+        pool.running += load.running;
+        pool.runSeconds = std::max(pool.runSeconds, toSeconds(duration{load.runMicroseconds}));
+        pool.queuedByDataCentre[dataCentre] += load.queued;
+    }
+}
+
+pool_sample planner_task::sampleOf(const fleet_pool &pool, const pool_figures &figures) const
+{
+    const fleet_state &state = m_fleet.fold().state();
+    pool_sample sample;
+    sample.interval = planInterval;
+    sample.arrivals = figures.arrivals;
+    sample.queued = figures.queued;
+    sample.running = figures.running;
+    sample.runSeconds = figures.runSeconds;
+    sample.slotsPerHost = static_cast<std::int64_t>(pool.slotsPerHost);
+    sample.moveTime = expectedMoveTime;
+    for (const fleet_host &host : m_fleet.publishedHosts().hosts) {
+        const auto moved = state.hosts.find(host.name);
+        const bool isLeaving = moved != state.hosts.end() && moved->second.isLeaving();
+        const std::string &serves = isLeaving ? moved->second.toPool : currentPool(state, host);
+        sample.hosts += serves == pool.name ? 1 : 0;
+        sample.homeHosts += host.pool == pool.name ? 1 : 0;
+    }
+
+    std::vector<std::pair<double, std::string>> order;
+    for (const auto &[dataCentre, queued] : figures.queuedByDataCentre) {
+        order.emplace_back(-queued, dataCentre);
+    }
+    std::sort(order.begin(), order.end());
+    for (const auto &[queued, dataCentre] : order) {
+        sample.dataCentres.push_back(dataCentre);
+    }
+    return sample;
+}
+
+wave_progress planner_task::progress()
+{
+    wave_progress progress;
+    const drain_index drains(m_fleet.fold().state());
+    for (const fleet_host &host : m_fleet.publishedHosts().hosts) {
+        if (host.dataCentre != m_dataCentre) {
+            continue;
+        }
+        if (!drains.covers(host)) {
+            m_progress.erase(host.name);
+            continue;
+        }
+
+        // The platform announces its own work on a host through the host list: leaving while it reboots, live afterwards.
+        host_progress &known = m_progress[host.name];
+        const endpoint_observation seen = m_endpoints.observation(host.name);
+        known.running = seen.running + seen.inFlight;
+        const listed_state listed = m_fleet.listedState(host.name);
+        if (listed == listed_state::leaving && known.maintenance == maintenance_state::not_started) {
+            known.maintenance = maintenance_state::in_progress;
+        } else if (listed == listed_state::live && known.maintenance == maintenance_state::in_progress) {
+            known.maintenance = maintenance_state::done;
+        }
+        progress[host.name] = known;
+    }
+    return progress;
+}
+
+void planner_task::planWaves(availability_budget &budget)
+{
+    const wave_progress seen = progress();
+    if (m_fleet.fold().state().waves.empty() || !isSelected("waves " + m_dataCentre, m_dataCentre)) {
+        return;
+    }
+
+    const fleet_health hostHealth = health();
+    const wave_view view{m_fleet.publishedHosts(), m_fleet.fold().state(), hostHealth, seen, 0.0, m_loop.wallNow()};
+    std::set<std::string> near;
+    for (const fleet_host &host : m_fleet.publishedHosts().hosts) {
+        if (host.dataCentre == m_dataCentre) {
+            near.insert(host.name);
+        }
+    }
+
+    const auto newRecord = [this] {
+        return static_cast<std::int64_t>(m_random() >> 1) | 1;
+    };
+    for (const auto &[name, wave] : m_fleet.fold().state().waves) {
+        std::vector<wave_decision> decisions = m_waveRunner.next(name, view, budget);
+        // Only entry hosts of a host's own data centre see its jobs and its health.
+        std::erase_if(decisions, [&](const wave_decision &decision) { return !decision.host.empty() && !near.contains(decision.host); });
+        for (const wave_decision &decision : decisions) {
+            if (decision.step == wave_step::maintain_host) {
+                m_logger.info("host is drained and may be maintained", {{"wave", name}, {"host", decision.host}});
+            } else if (decision.step == wave_step::checkpoint_jobs) {
+                m_progress[decision.host].checkpointRequested = true;
+                m_logger.warning("long jobs still run on a draining host", {{"wave", name}, {"host", decision.host}});
+            }
+        }
+        append(waveRecords(decisions, static_cast<std::int64_t>(m_peers.incarnation()), m_loop.wallNow(), newRecord));
+    }
+}
+
+void planner_task::append(const std::vector<wire::fleet_record> &records)
+{
+    for (const wire::fleet_record &record : records) {
+        m_busyUntil = m_loop.now() + settleTime;
+        m_logger.info("planned", {{"action", static_cast<int>(record.action)}, {"subject", record.subject}, {"to", record.toPool}});
+        m_fleet.append(record, [this, subject = record.subject](const outcome<std::int64_t> &result) {
+            if (!result) {
+                m_logger.info("planned record had no effect", {{"subject", subject}, {"reason", result.lastReason().reason}});
+            }
+        });
+    }
+}
+
+} // namespace parsleyglade
