--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -154,7 +154,7 @@
 cluster_is_ready() { cluster_admin "$1" /readyz; }
 
 cluster_publish_examples() {
-    "$cluster_build/parsleyglade" --admin "$(cluster_admin_address 1)" publish --routes "$cluster_dir/routes.json" --pools "$cluster_dir/pools.json" \
+    PARSLEYGLADE_TOKEN=$cluster_operator_token "$cluster_build/parsleyglade" --admin "$(cluster_admin_address 1)" publish "$cluster_dir/routes.json" "$cluster_dir/pools.json" \
         --base-revision "${1:-0}" --author demo --wait
 }
 
--- /dev/null
+++ b/tests/processes/entry_faults_test.sh
@@ -0,0 +1,32 @@
+#!/usr/bin/env bash
+# Guards against a job that runs twice, is lost or is answered untruthfully when entry hosts are killed, replaced or frozen under load with immediate retries.
+set -uo pipefail
+# A frozen entry host has to outlast every limit after which others give it up.
+cluster_extra_settings='"dispatcherLostMilliseconds": 2000,'
+source "$(dirname "$0")/support.sh" "${1:?build folder}" hung-phat 24
+start_deployment
+
+common=(--seconds 16 --keys repeat:0.3 --retry immediate --attempts 40 --run-milliseconds 20 --time-limit-milliseconds 8000)
+load_start single /lathe/paths --rate 150 --seed 11 "${common[@]}"
+load_start idempotent /fitting/pressure-maps --rate 100 --seed 12 --idempotent "${common[@]}"
+
+sleep 2
+cluster_kill entry-3
+sleep 2
+cluster_launch_entry 3
+must "the new process of entry-3 serves" wait_for_entry 3
+
+cluster_signal entry-5 STOP
+sleep 6
+cluster_signal entry-5 CONT
+check "entry-5 serves after it was frozen" wait_for_entry 5
+
+check "non-idempotent jobs: the oracle finds nothing wrong" load_end single
+check "most non-idempotent jobs are completed" at_least "$(load_count completed)" 1800
+check "idempotent jobs: the oracle finds nothing wrong" load_end idempotent
+check "most idempotent jobs are completed" at_least "$(load_count completed)" 1400
+
+load_start afterwards /lathe/paths --rate 100 --seconds 2 --seed 13
+check "after the faults: the oracle finds nothing wrong" load_end afterwards
+check "after the faults every job is completed" same "$(load_count completed)" "$(load_count jobs)"
+check "every process still runs" all_running
--- /dev/null
+++ b/tests/processes/support.sh
@@ -0,0 +1,103 @@
+# Common parts of the process tests. Source it as: source support.sh <build folder> <deployment> <two-digit port prefix>
+# A test counts its failed checks; when it ends, every started process is stopped by its id and the exit status is 1 if a check failed.
+
+source "$(dirname "${BASH_SOURCE[0]}")/../../scripts/lib/cluster.sh"
+export PARSLEYGLADE_TOKEN=$cluster_operator_token
+test_failures=0
+
+test_end() {
+    cluster_stop
+    if [ "$test_failures" -eq 0 ]; then
+        rm -rf "$cluster_dir"
+        echo "passed in $SECONDS s"
+        exit 0
+    fi
+    echo "FAILED: $test_failures checks in $SECONDS s; logs are in $cluster_dir"
+    exit 1
+}
+
+# check <what> <command...>: runs a command and counts it as a failed check if it fails.
+check() {
+    local what=$1
+    shift
+    if "$@"; then
+        echo "ok: $what"
+    else
+        echo "FAILED: $what"
+        test_failures=$((test_failures + 1))
+    fi
+}
+
+# must <what> <command...>: a check without which the test can't go on.
+must() {
+    local before=$test_failures
+    check "$@"
+    [ "$test_failures" -eq "$before" ] || exit 1
+}
+
+same() { [ "$1" = "$2" ] || { echo "expected '$2', got '$1'"; return 1; }; }
+at_most() { [ "$1" -le "$2" ] || { echo "expected at most $2, got $1"; return 1; }; }
+at_least() { [ "$1" -ge "$2" ] || { echo "expected at least $2, got $1"; return 1; }; }
+
+client() { "$cluster_build/parsleyglade" --admin "$(cluster_admin_address "${client_entry:-1}")" "$@"; }
+
+# Whether an entry host sees endpoints of its data centre that take work. Readiness says less: it is given before the entry host has registered.
+entry_serves() { client_entry=$1 client --json status | grep -q '"state": "serving"'; }
+wait_for_entry() { cluster_wait_until "entry-$1 serves" entry_serves "$1"; }
+
+# Whether every process that the test started still runs; one that finds its port taken has ended.
+all_running() { kill -0 "${cluster_pids[@]}"; }
+
+# Starts the deployment and puts its tables in force; every entry host places jobs afterwards.
+start_deployment() {
+    local number
+    must "the processes start" cluster_start
+    must "the ports are not taken by another run" all_running
+    must "the example tables are published" cluster_publish_examples
+    for number in $(seq "$cluster_entry_count"); do
+        must "entry-$number serves" wait_for_entry "$number"
+    done
+}
+
+# load_start <name> <route> <options...>: sends load to the entry hosts in load_targets (all by default) with the oracle over all endpoints.
+load_start() {
+    local name=$1 route=$2 number targets=()
+    shift 2
+    for number in ${load_targets:-$(seq "$cluster_entry_count")}; do
+        targets+=(--target "$(cluster_caller_address "$number")")
+    done
+    : >"$cluster_dir/load-$name.log"
+    cluster_launch "load-$name" "$cluster_build/parsleyglade-load" "${targets[@]}" --route "$route" --token "$cluster_caller_token" \
+        --oracle "$(cluster_endpoints)" --json "$@"
+}
+
+# load_end <name>: waits for the load's end, prints its result and gives its exit status.
+load_end() {
+    local status=0
+    wait "${cluster_pids[load-$1]}" || status=$?
+    unset "cluster_pids[load-$1]"
+    load_output=$(cat "$cluster_dir/load-$1.log")
+    echo "load $1: $load_output"
+    return "$status"
+}
+
+# load_count <key>: the number that the last load's result has under a key, 0 without the key.
+load_count() {
+    local number
+    number=$(grep -oE "\"$1\": *[0-9]+" <<<"$load_output" | head -1 | grep -oE '[0-9]+$')
+    echo "${number:-0}"
+}
+
+# Sum of a count over all endpoints; $2 narrows the JSON to what follows a key.
+endpoint_sum() {
+    local index sum=0 value
+    for index in $(seq "$cluster_endpoint_count"); do
+        value=$(curl --silent --max-time 5 "http://127.0.0.1:$((cluster_prefix * 1000 + index))/v1/executions" | sed "s/.*\"${2:-host}\"//" |
+            grep -oE "\"$1\": *[0-9]+" | head -1 | grep -oE '[0-9]+$')
+        sum=$((sum + ${value:-0}))
+    done
+    echo "$sum"
+}
+
+trap test_end EXIT
+cluster_prepare "${1:?build folder}" "$2" "$3"
