--- a/src/placement/admission_queue.cpp
+++ b/src/placement/admission_queue.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <numeric>
 
 namespace parsleyglade {
 
@@ -42,13 +43,7 @@
 void admission_queue::setShare(caller_id caller, double share)
 {
     assert(share > 0.0);
-    caller_state &state = stateOf(caller);
-    for (std::size_t index = 0; index < jobClassCount; ++index) {
-        if (state.waiting[index] > 0) {
-            m_classes[index].activeShares += share - state.share;
-        }
-    }
-    state.share = share;
+    stateOf(caller).share = share;
 }
 
 admission_verdict admission_queue::offer(const queued_job &job, time_point now, std::mt19937_64 &random)
@@ -151,7 +146,7 @@
 std::size_t admission_queue::sizeOf(caller_id caller) const
 {
     const auto found = m_callers.find(caller);
-    return found == m_callers.end() ? 0 : found->second.waiting[0] + found->second.waiting[1];
+    return found == m_callers.end() ? 0 : std::accumulate(found->second.waiting.begin(), found->second.waiting.end(), std::size_t{0});
 }
 
 std::size_t admission_queue::laneOf(urgency_class urgency, job_class jobClass)
@@ -161,17 +156,15 @@
 
 result_code admission_queue::check(const queued_job &job, time_point now) const
 {
-    const std::size_t classIndex = static_cast<std::size_t>(job.jobClass);
-    const double usable = job.urgency == urgency_class::urgent ? 1.0 : 1.0 - m_settings.urgentReserve;
-    const double places = std::max(usable * placesOf(job.jobClass, m_settings.maximumJobs), 1.0);
-    if (size() >= m_settings.maximumJobs || static_cast<double>(m_classes[classIndex].waiting + 1) > places) {
+    const double waiting = static_cast<double>(m_waiting[static_cast<std::size_t>(job.jobClass)]);
+    if (size() >= m_settings.maximumJobs || waiting + 1.0 > std::max(placesOf(job, m_settings.maximumJobs), 1.0)) {
         return result_code::queue_full;
     }
 
     const auto caller = m_callers.find(job.caller);
     if (caller != m_callers.end()) {
-        const bool isAtLimit = caller->second.waiting[classIndex] >= callerLimit(caller->second.share, job.jobClass);
-        if (isAtLimit || sizeOf(job.caller) >= m_settings.maximumJobsOfCaller) {
+        const std::size_t own = caller->second.waiting[laneOf(job.urgency, job.jobClass)];
+        if (own >= callerLimit(caller->second.share, job) || sizeOf(job.caller) >= m_settings.maximumJobsOfCaller) {
             return result_code::caller_over_limit;
         }
     }
@@ -183,17 +176,18 @@
     return now + wait > latestStart(job) ? result_code::deadline_unreachable : result_code::ok;
 }
 
-double admission_queue::placesOf(job_class jobClass, std::size_t maximum) const
+double admission_queue::placesOf(const queued_job &job, std::size_t maximum) const
 {
-    const double share = jobClass == job_class::long_job ? m_settings.longJobQueueShare : 1.0 - m_settings.longJobQueueShare;
-    return share * static_cast<double>(maximum);
+    const double ofClass = job.jobClass == job_class::long_job ? m_settings.longJobQueueShare : 1.0 - m_settings.longJobQueueShare;
+    const double ofUrgency = job.urgency == urgency_class::urgent ? 1.0 : 1.0 - m_settings.urgentReserve;
+    return ofClass * ofUrgency * static_cast<double>(maximum);
 }
 
-std::size_t admission_queue::callerLimit(double share, job_class jobClass) const
+std::size_t admission_queue::callerLimit(double share, const queued_job &job) const
 {
     // Leaves room for one further caller of the same share, so that a storm cannot fill the queue before another caller arrives.
-    const double part = share / (m_classes[static_cast<std::size_t>(jobClass)].activeShares + share);
-    const double limit = std::min(part * placesOf(jobClass, m_settings.maximumJobs), placesOf(jobClass, m_settings.maximumJobsOfCaller));
+    const double part = share / (m_lanes[laneOf(job.urgency, job.jobClass)].activeShares() + share);
+    const double limit = std::min(part * placesOf(job, m_settings.maximumJobs), placesOf(job, m_settings.maximumJobsOfCaller));
     return std::max<std::size_t>(static_cast<std::size_t>(limit), 1);
 }
 
@@ -256,29 +250,16 @@
 
 void admission_queue::count(const queued_job &job)
 {
-    const std::size_t classIndex = static_cast<std::size_t>(job.jobClass);
-    caller_state &caller = stateOf(job.caller);
-    if (caller.waiting[classIndex] == 0) {
-        m_classes[classIndex].activeShares += caller.share;
-    }
-    caller.waiting[classIndex] += 1;
-    m_classes[classIndex].waiting += 1;
+    stateOf(job.caller).waiting[laneOf(job.urgency, job.jobClass)] += 1;
+    m_waiting[static_cast<std::size_t>(job.jobClass)] += 1;
     m_expiries.emplace(latestStart(job), job.id);
 }
 
 void admission_queue::forget(const queued_job &job)
 {
+    stateOf(job.caller).waiting[laneOf(job.urgency, job.jobClass)] -= 1;
+    m_waiting[static_cast<std::size_t>(job.jobClass)] -= 1;
     m_expiries.erase({latestStart(job), job.id});
-    const std::size_t classIndex = static_cast<std::size_t>(job.jobClass);
-    class_state &all = m_classes[classIndex];
-    caller_state &caller = m_callers.at(job.caller);
-    caller.waiting[classIndex] -= 1;
-    all.waiting -= 1;
-    if (all.waiting == 0) {
-        all.activeShares = 0.0;
-    } else if (caller.waiting[classIndex] == 0) {
-        all.activeShares -= caller.share;
-    }
 }
 
 queued_job admission_queue::removeAt(std::uint64_t id)
--- a/src/placement/admission_queue.h
+++ b/src/placement/admission_queue.h
@@ -79,24 +79,17 @@
         deficit_round_robin::position position;
     };
 
-    /** Jobs of one class. Each class has its own places, so that waiting long jobs do not take those of short ones. */
-    struct class_state
-    {
-        std::size_t waiting = 0;
-        double activeShares = 0.0; /**< Sum of the shares of the callers with waiting jobs of the class. */
-    };
-
     struct caller_state
     {
         double share = 1.0;
-        std::array<std::size_t, jobClassCount> waiting{};
+        std::array<std::size_t, laneCount> waiting{}; /**< By lane: a caller's normal jobs must not take the places of its urgent ones. */
         std::vector<drain_rate> drainRates; /**< By lane: a caller that sends more than its share waits longer than the others. */
     };
 
     static std::size_t laneOf(urgency_class urgency, job_class jobClass);
     result_code check(const queued_job &job, time_point now) const;
-    double placesOf(job_class jobClass, std::size_t maximum) const;
-    std::size_t callerLimit(double share, job_class jobClass) const;
+    double placesOf(const queued_job &job, std::size_t maximum) const;
+    std::size_t callerLimit(double share, const queued_job &job) const;
     void count(const queued_job &job);
     caller_state &stateOf(caller_id caller);
     double shareOf(caller_id caller) const;
@@ -113,7 +106,7 @@
     std::unordered_map<std::uint64_t, location> m_locations;
     std::unordered_map<caller_id, caller_state> m_callers;
     std::set<std::pair<time_point, std::uint64_t>> m_expiries;
-    std::array<class_state, jobClassCount> m_classes;
+    std::array<std::size_t, jobClassCount> m_waiting{}; /**< By class: waiting long jobs must not take the places of short ones. */
     std::size_t m_urgentInRow = 0;
     double m_accepted = 0.0;
     double m_refused = 0.0;
--- a/tests/placement/admission_queue_test.cpp
+++ b/tests/placement/admission_queue_test.cpp
@@ -135,6 +135,29 @@
     CHECK(longestWait < 200ms);
 }
 
+// Guards against a caller's own storm of normal jobs that has its urgent jobs refused, and against waiting long jobs that have short ones refused.
+TEST_CASE("a caller's limit is counted apart for each urgency and class")
+{
+    std::mt19937_64 random(7);
+    admission_queue queue;
+    const time_point now{1s};
+    std::uint64_t id = 0;
+    for (const job_class jobClass : {job_class::long_job, job_class::short_job}) {
+        for (const urgency_class urgency : {urgency_class::normal, urgency_class::urgent}) {
+            queued_job job = makeJob(++id, 1, now);
+            job.jobClass = jobClass;
+            job.urgency = urgency;
+            CHECK(queue.offer(job, now, random).isAccepted());
+
+            // Fills the caller's places for normal jobs of the class.
+            job.urgency = urgency_class::normal;
+            do {
+                job.id = ++id;
+            } while (queue.offer(job, now, random).isAccepted());
+        }
+    }
+}
+
 // Guards against urgent jobs that starve normal ones, short jobs that starve long ones, and many callers that starve one.
 TEST_CASE("no job starves")
 {
--- a/tools/measure-policy/main.cpp
+++ b/tools/measure-policy/main.cpp
@@ -19,6 +19,7 @@
     double greatestViewDelay = 2.0;
     std::size_t entryHosts = 0;
     double maximumShortWait = toSeconds(admission_settings{}.maximumShortWait);
+    std::size_t maximumJobs = admission_settings{}.maximumJobs;
     double longJobSlotShare = endpoint_limits{}.longJobSlotShare;
     bool json = false;
     bool csv = false;
@@ -44,6 +45,7 @@
     app.add_option("--greatest-view-delay", chosen.greatestViewDelay, "greatest age in seconds of another entry host's counts")->check(CLI::Range(0.0, 60.0));
     app.add_option("--entry-hosts", chosen.entryHosts, "entry hosts in each data centre; the deployment's own when 0")->check(CLI::Range(0, 20));
     app.add_option("--maximum-short-wait", chosen.maximumShortWait, "admission_settings::maximumShortWait in seconds")->check(CLI::Range(0.01, 3600.0));
+    app.add_option("--maximum-jobs", chosen.maximumJobs, "jobs that wait for a pool at one entry host, for all policies")->check(CLI::Range(1, 1000000));
     app.add_option("--long-job-slot-share", chosen.longJobSlotShare, "endpoint_limits::longJobSlotShare")->check(CLI::Range(0.0, 1.0));
     app.add_flag("--callers-retry", chosen.plan.settings.callersRetry, "refused jobs are offered again after the stated time, until their deadline");
     app.add_flag("--json", chosen.json, "write JSON");
@@ -68,6 +70,7 @@
     }
     for (policy_choice &choice : policyChoices()) {
         choice.admission.maximumShortWait = fromSeconds(chosen.maximumShortWait);
+        choice.admission.maximumJobs = chosen.maximumJobs;
         choice.limits.longJobSlotShare = chosen.longJobSlotShare;
         const bool isChosen = std::find(chosen.policies.begin(), chosen.policies.end(), choice.name) != chosen.policies.end();
         if (chosen.policies.empty() || isChosen) {
