Move hosts only for bursts of ten move times

Cause: with bursts of 4 to 12 s a move seldom pays.

Change: moveCostFactor 4 -> 10, so a move of 4 s is made for a burst that is expected to last more than 40 s.

A learned order of the bursts, so that hosts move before them, is the next thing to try.

--- a/src/fleet/queue_model_policy.h
+++ b/src/fleet/queue_model_policy.h
@@ -21,7 +21,7 @@
         double staffingMargin = 1.0; /**< Square roots of the offered load. */
         duration clearTime = std::chrono::seconds(2);
         duration holdTime = std::chrono::seconds(2);
-        double moveCostFactor = 4.0; /**< Move times. */
+        double moveCostFactor = 10.0; /**< Move times. */
         double smoothing = 0.6; /**< Weight of the newest rate, 0 to 1. */
     };
 
