--- a/src/records/fleet_transitions.h
+++ b/src/records/fleet_transitions.h
@@ -9,12 +9,6 @@
 
 namespace parsleyglade {
 
-/** Longest name of a host, pool, place, wave or author in a record, in bytes. */
-constexpr std::size_t maximumFleetNameBytes = 128;
-
-/** Longest detail of a record other than a snapshot, in bytes. */
-constexpr std::size_t maximumFleetDetailBytes = std::size_t{1024} * 1024;
-
 /** How many applied records the state remembers to recognise copies of them. */
 constexpr std::size_t recentFleetRecords = 1024;
 
--- a/tests/fleet/fleet_model.h
+++ b/tests/fleet/fleet_model.h
@@ -73,6 +73,7 @@
     void actOn(model_entry &entry, std::uint32_t choice);
     void operate(std::uint32_t choice);
     void append(const wire::fleet_record &record, std::uint32_t fate);
+    void appendAll(const std::vector<wire::fleet_record> &records, std::uint32_t fate);
     void write(const wire::fleet_record &record);
     void deliver(model_entry &entry, std::size_t most, std::size_t back);
     void restart(model_entry &entry, bool fromSnapshot);
@@ -85,6 +86,7 @@
     endpoint_observation observe(const model_entry &entry, const std::string &host) const;
     fleet_record_builder writer(std::int64_t incarnation);
 
+    static void require(bool holds, const std::string &oracle);
     void checkOnePool() const;
     void checkLeaving() const;
     void checkDigests() const;
