--- a/src/entry/admin_task.h
+++ b/src/entry/admin_task.h
@@ -3,6 +3,7 @@
 #include "entry/admin_context.h"
 #include "entry/document_gatherer.h"
 #include "entry/refusal_counter.h"
+#include "entry/service_report.h"
 #include "transport/transport.h"
 
 #include <nlohmann/json.hpp>
@@ -25,6 +26,12 @@
     /** Listens. Fails when the address can't be bound. */
     outcome<std::uint16_t> start();
 
+    /** Another revision is in force. */
+    void tablesChanged();
+
+    /** The fleet's state has changed. */
+    void fleetChanged();
+
     /** Counts a job that has been answered. */
     void jobEnded(const job &ended, const job_outcome &outcome, duration elapsed);
 
@@ -43,6 +50,7 @@
 
     void sendStatus(const exchange_pointer &exchange);
     void sendTables(const exchange_pointer &exchange);
+    void sendBurn(const exchange_pointer &exchange);
     void publish(const exchange_pointer &exchange, const nlohmann::json &body);
 
     // Drains and waves, in admin_fleet.cpp.
@@ -51,12 +59,12 @@
     void planWave(const exchange_pointer &exchange, const nlohmann::json &body);
     void changeWave(const exchange_pointer &exchange, const std::string &wave, const std::string &action);
     void appendWave(const exchange_pointer &exchange, const std::string &wave, const wire::fleet_record &record);
-    fleet_health health() const;
 
     std::vector<std::string> registeredEntryHosts() const;
 
     admin_context m_context;
     refusal_counter m_refusals;
+    service_report m_report;
     http_server m_server;
 };
 
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -29,8 +29,9 @@
     , m_fleet(loop, m_settings, log, hostList, m_peers)
     , m_endpoints(loop, m_settings.dataCentre)
     , m_jobs(loop, m_settings, m_peers, m_claims, m_fleet, m_endpoints)
+    , m_planner(loop, m_settings, m_peers, m_fleet, m_endpoints, m_jobs.dispatch())
     , m_callers(loop, m_settings, m_jobs)
-    , m_admin({loop, m_settings, m_peers, m_claims, m_configuration, m_fleet, m_endpoints, m_jobs, m_callers, [this] {
+    , m_admin({loop, m_settings, m_peers, m_claims, m_configuration, m_fleet, m_endpoints, m_jobs, m_planner, m_callers, [this] {
                    return isReady();
                }})
 {
@@ -46,7 +47,10 @@
     m_configuration.onChange([this] { tablesChanged(); });
     m_fleet.setObservationSource([this](const std::string &host) { return m_endpoints.observation(host); });
     m_fleet.onPoolChange([this](const std::string &host) { m_endpoints.notePoolChange(host); });
-    m_fleet.onChange([this] { m_jobs.dispatch().refresh(); });
+    m_fleet.onChange([this] {
+        m_jobs.dispatch().refresh();
+        m_admin.fleetChanged();
+    });
     m_jobs.setEndObserver([this](const job &ended, const job_outcome &outcome, duration elapsed) { m_admin.jobEnded(ended, outcome, elapsed); });
 }
 
@@ -77,6 +81,8 @@
     beat.ready = isReady();
     beat.logReachable = m_configuration.isLogReachable();
     beat.loads = m_jobs.dispatch().loads();
+    beat.pools = m_planner.poolLoads();
+    beat.unhealthyHosts = m_planner.unhealthyHosts();
     beat.sentMicroseconds = m_loop.now().time_since_epoch().count();
     return beat;
 }
@@ -97,6 +103,7 @@
     m_endpoints.setTables(published);
     m_callers.setTables(published);
     m_jobs.setTables(published);
+    m_admin.tablesChanged();
 }
 
 bool entry_daemon::isReady() const
