--- a/src/entry/admin_fleet.cpp
+++ b/src/entry/admin_fleet.cpp
@@ -15,7 +15,6 @@
 
 constexpr std::size_t maximumNames = 1000;
 constexpr std::size_t maximumAuthorBytes = 128;
-constexpr std::size_t maximumReasonBytes = 1024;
 constexpr std::int64_t largestExact = (std::int64_t{1} << 53) - 1;
 constexpr int statusOk = 200;
 constexpr int statusCreated = 201;
--- a/src/entry/claim_task.cpp
+++ b/src/entry/claim_task.cpp
@@ -147,7 +147,7 @@
     wire::peer_message message;
     message.__set_claim(request);
     const duration limit = requestLimit + std::chrono::milliseconds{request.waitMilliseconds};
-    m_peers.request(coordinator, std::move(message), limit, [done = std::move(done)](const outcome<wire::peer_message> &reply) {
+    m_peers.request(coordinator, message, limit, [done = std::move(done)](const outcome<wire::peer_message> &reply) {
         if (reply && reply->__isset.claimReply) {
             done(reply->claimReply);
             return;
@@ -165,7 +165,7 @@
 
     wire::peer_message message;
     message.__set_report(report);
-    m_peers.request(coordinatorOf(report.stream), std::move(message), requestLimit, [done = std::move(done)](const outcome<wire::peer_message> &reply) {
+    m_peers.request(coordinatorOf(report.stream), message, requestLimit, [done = std::move(done)](const outcome<wire::peer_message> &reply) {
         done(reply && reply->__isset.reportReply && reply->reportReply.recorded);
     });
 }
--- a/src/entry/configuration_task.cpp
+++ b/src/entry/configuration_task.cpp
@@ -127,7 +127,7 @@
     fetch.fromOffset = static_cast<std::int64_t>(m_fold.nextOffset());
     wire::peer_message message;
     message.__set_fetch(fetch);
-    m_peers.request(entryHost, std::move(message), fetchLimit, [this, alive = std::weak_ptr<bool>(m_alive)](const outcome<wire::peer_message> &reply) {
+    m_peers.request(entryHost, message, fetchLimit, [this, alive = std::weak_ptr<bool>(m_alive)](const outcome<wire::peer_message> &reply) {
         if (alive.expired()) {
             return;
         }
--- a/src/entry/document_gatherer.cpp
+++ b/src/entry/document_gatherer.cpp
@@ -52,7 +52,7 @@
         request.document = document;
         wire::peer_message message;
         message.__set_document(request);
-        peers.request(entryHost, std::move(message), gatherLimit, [state, entryHost](const outcome<wire::peer_message> &reply) {
+        peers.request(entryHost, message, gatherLimit, [state, entryHost](const outcome<wire::peer_message> &reply) {
             state->documents.emplace(entryHost, readDocument(reply));
             state->missing.erase(entryHost);
             if (state->missing.empty()) {
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t maximumKeyBytes = 256;
 constexpr std::size_t sha256HexBytes = 64;
 constexpr std::int64_t millisecondsPerMinute = 60'000;
+constexpr std::int64_t minutesPerDay = 24 * 60;
+constexpr std::int64_t largestBodyBytes = std::int64_t{3} * 1024 * 1024;
 
 std::vector<std::string> readAddresses(json_checker list, std::size_t minimum)
 {
@@ -117,15 +119,15 @@
     const optional_numbers numbers(document);
     settings.claimStreams = static_cast<std::int32_t>(numbers.read("claimStreams", 1, 64, settings.claimStreams));
     numbers.milliseconds("appendIntervalMilliseconds", 1, 1000, settings.appendInterval);
-    numbers.minutes("dedupWindowMinutes", 1, 7 * 24 * 60, settings.dedupWindow);
-    numbers.minutes("logRetentionMinutes", 2, 90 * 24 * 60, settings.logRetention);
+    numbers.minutes("dedupWindowMinutes", 1, 7 * minutesPerDay, settings.dedupWindow);
+    numbers.minutes("logRetentionMinutes", 2, 90 * minutesPerDay, settings.logRetention);
     numbers.milliseconds("dispatcherLostMilliseconds", 1000, 3'600'000, settings.dispatcherLostLimit);
-    numbers.minutes("snapshotIntervalMinutes", 1, 7 * 24 * 60, settings.snapshotInterval);
+    numbers.minutes("snapshotIntervalMinutes", 1, 7 * minutesPerDay, settings.snapshotInterval);
     numbers.count("maximumClaims", 100, 10'000'000, settings.maximumClaims);
     numbers.count("maximumQueuedJobs", 1, 100'000, settings.maximumQueuedJobs);
     numbers.count("maximumQueuedJobsOfCaller", 1, 100'000, settings.maximumQueuedJobsOfCaller);
     numbers.count("maximumCallerConnections", 1, 100'000, settings.maximumCallerConnections);
-    numbers.count("maximumBodyBytes", 1, 3 * 1024 * 1024, settings.maximumBodyBytes);
+    numbers.count("maximumBodyBytes", 1, largestBodyBytes, settings.maximumBodyBytes);
     numbers.milliseconds("drainLimitMilliseconds", 0, 3'600'000, settings.drainLimit);
 
     // Records must outlive the keys that they guard, with room for an outage of the log before a snapshot can be written.
--- a/src/entry/fleet_task.cpp
+++ b/src/entry/fleet_task.cpp
@@ -131,7 +131,7 @@
     }
 }
 
-void fleet_task::append(wire::fleet_record record, record_callback done)
+void fleet_task::append(const wire::fleet_record &record, record_callback done)
 {
     const std::int64_t id = record.record;
     // The command may have been sent to another entry host before.
--- a/src/entry/fleet_task.h
+++ b/src/entry/fleet_task.h
@@ -58,7 +58,7 @@
     std::vector<host_membership> memberships() const;
 
     /** Appends a record and waits until the fold has decided it. */
-    void append(wire::fleet_record record, record_callback done);
+    void append(const wire::fleet_record &record, record_callback done);
 
     /** A builder for records of this process, stamped with a new identifier and the time. */
     fleet_record_builder record();
--- a/src/entry/job_task.cpp
+++ b/src/entry/job_task.cpp
@@ -209,7 +209,7 @@
     if (outcome.code == result_code::ok) {
         outcome.code = decision.code;
     }
-    finish(decided, std::move(outcome));
+    finish(decided, outcome);
 }
 
 void job_task::offer(const std::shared_ptr<job> &offered)
@@ -236,7 +236,7 @@
     if (outcome.answer == job_answer::outcome_unknown) {
         outcome.reason = "whether an earlier try of the job ran is not known here";
     }
-    finish(abandoned, std::move(outcome));
+    finish(abandoned, outcome);
 }
 
 bool job_task::mayStart(job &starting)
@@ -344,7 +344,7 @@
     accepted.done(outcome);
 }
 
-void job_task::finish(const std::shared_ptr<job> &ended, job_outcome outcome)
+void job_task::finish(const std::shared_ptr<job> &ended, const job_outcome &outcome)
 {
     auto node = m_jobs.extract(ended->id);
     if (node.empty()) {
--- a/src/entry/job_task.h
+++ b/src/entry/job_task.h
@@ -80,7 +80,7 @@
     void endIdempotent(const std::shared_ptr<job> &sent, const call_result &result);
     void giveUp(const std::shared_ptr<job> &abandoned, result_code code, duration retryAfter = {});
     void follow(const std::shared_ptr<job> &decided, const ledger_decision &decision, const job_outcome &details);
-    void finish(const std::shared_ptr<job> &ended, job_outcome outcome);
+    void finish(const std::shared_ptr<job> &ended, const job_outcome &outcome);
     void answer(active_job &active, const job_outcome &outcome);
     void answerDeadline(std::uint64_t id);
     void forwardElsewhere(const std::shared_ptr<job> &forwarded, int attemptsLeft);
--- a/src/entry/job_task_peers.cpp
+++ b/src/entry/job_task_peers.cpp
@@ -92,7 +92,7 @@
     forwarded->isSent = true;
     wire::peer_message message;
     message.__set_forward(makeForward(*forwarded, m_loop.now()));
-    m_peers.request(target, std::move(message), forwarded->deadline - m_loop.now() + forwardAllowance,
+    m_peers.request(target, message, forwarded->deadline - m_loop.now() + forwardAllowance,
                     [this, forwarded, attemptsLeft, alive = std::weak_ptr<bool>(m_alive)](const outcome<wire::peer_message> &reply) {
                         if (alive.expired()) {
                             return;
@@ -173,7 +173,7 @@
 
 cancel_decision job_task::cancelHere(const claim_identity &identity)
 {
-    const cancel_decision decision = m_ledger.cancel(identity, m_loop.now());
+    cancel_decision decision = m_ledger.cancel(identity, m_loop.now());
     for (const attempt_id attempt : decision.ended) {
         if (const auto ended = jobOf(attempt)) {
             m_dispatch.cancelQueued(*ended);
@@ -226,7 +226,7 @@
         wanted.caller = static_cast<std::int64_t>(caller);
         wire::peer_message message;
         message.__set_cancel(wanted);
-        m_peers.request(dispatcher, std::move(message), cancelLimit, [this, key, caller, done](const outcome<wire::peer_message> &answer) {
+        m_peers.request(dispatcher, message, cancelLimit, [this, key, caller, done](const outcome<wire::peer_message> &answer) {
             if (answer && answer->__isset.cancelReply && answer->cancelReply.stopped) {
                 done({job_answer::not_run, result_code::cancelled, "cancelled before it was sent", {}, {}});
                 return;
--- a/src/entry/peer_task.cpp
+++ b/src/entry/peer_task.cpp
@@ -186,10 +186,10 @@
     return found != m_peers.end() && isLive(found->first) ? found->first : std::string();
 }
 
-void peer_task::request(const std::string &entryHost, wire::peer_message message, duration limit, peer_link::reply_callback done)
+void peer_task::request(const std::string &entryHost, const wire::peer_message &message, duration limit, peer_link::reply_callback done)
 {
     if (peer_link *link = linkTo(entryHost)) {
-        link->request(std::move(message), limit, std::move(done));
+        link->request(message, limit, std::move(done));
         return;
     }
     m_loop.post([done = std::move(done)] { done(failure{result_code::peer_unreachable, "the entry host is not connected", {}}); });
--- a/src/entry/peer_task.h
+++ b/src/entry/peer_task.h
@@ -81,7 +81,7 @@
     std::string nameOf(incarnation_id incarnation) const;
 
     /** Sends a request to an entry host. @see peer_link::request */
-    void request(const std::string &entryHost, wire::peer_message message, duration limit, peer_link::reply_callback done);
+    void request(const std::string &entryHost, const wire::peer_message &message, duration limit, peer_link::reply_callback done);
 
     /** Sends a message without reply to every connected entry host. */
     void broadcast(const wire::peer_message &message);
--- a/standins/standin-link/main.cpp
+++ b/standins/standin-link/main.cpp
@@ -66,6 +66,7 @@
     try {
         event_loop loop;
         std::vector<std::unique_ptr<relay>> relays;
+        relays.reserve(links.size());
         for (const std::string &link : links) {
             relays.push_back(makeRelay(loop, link));
         }
