Keep idle peer sessions open and form bodies out of the query

Cause: found with real processes. The connecting side of a peer session got no frames on an idle link and closed it after its silence limit: 41 connections in 55 s on one host, and coordinators that changed with each. libevhtp adds the fields of a form body to the query, so endpoints got them in the path. Drains ignored the availability budget that the interface promises to keep. A cancelled attempt was answered not-run although an earlier one may have run.

Change: heartbeats are acknowledged; the query is read before the body; a drain that a service's budget does not allow is refused; such a cancellation is answered outcome-unknown.

--- a/src/entry/admin_fleet.cpp
+++ b/src/entry/admin_fleet.cpp
@@ -78,6 +78,15 @@
         return;
     }
 
+    availability_budget budget(m_context.fleet.publishedHosts(), m_context.fleet.fold().state(), m_context.planner.health());
+    for (const json &host : hosts) {
+        if (!budget.takeHost(host)) {
+            const std::string reason = "the budget of " + budget.poolOf(host) + " does not let " + host.get<std::string>() + " go as well";
+            exchange->respond(adminRefusal({{result_code::budget_exceeded, reason, "/subject"}}));
+            return;
+        }
+    }
+
     const auto record = withIdentifier(m_context.fleet.record().drainStarted(drain.scope, subject, author), request);
     m_context.fleet.append(record, [exchange, hosts](const outcome<std::int64_t> &result) {
         if (!result) {
--- a/src/entry/job_task_peers.cpp
+++ b/src/entry/job_task_peers.cpp
@@ -177,7 +177,8 @@
     for (const attempt_id attempt : decision.ended) {
         if (const auto ended = jobOf(attempt)) {
             m_dispatch.cancelQueued(*ended);
-            finish(ended, {decision.isStopped ? job_answer::not_run : job_answer::still_running, result_code::cancelled, "cancelled by its caller", {}, {}});
+            // Whether an earlier attempt ran is not known here; the caller that cancelled asks the log.
+            finish(ended, {job_answer::outcome_unknown, result_code::cancelled, "cancelled by its caller before it was sent", {}, {}});
         }
     }
     askEndpointToStop(decision.running);
--- a/src/entry/peer_task.cpp
+++ b/src/entry/peer_task.cpp
@@ -121,6 +121,8 @@
 {
     if (message.__isset.beat) {
         hear(peer, message.beat);
+        // The side that connected gets no other frames on an idle session, and would take it for dead.
+        reply({});
         return;
     }
     if (m_handler) {
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -25,13 +25,13 @@
     return value == nullptr ? std::string() : std::string(value);
 }
 
-http_request readRequest(evhtp_request_t *request)
+http_request readRequest(evhtp_request_t *request, const std::string &query)
 {
     http_request received;
     received.method = methodName(request);
+    received.query = query;
     if (request->uri != nullptr) {
         received.path = request->uri->path != nullptr ? text(request->uri->path->full) : std::string();
-        received.query = text(reinterpret_cast<const char *>(request->uri->query_raw));
     }
 
     const auto addHeader = [](evhtp_kv_t *header, void *argument) {
@@ -128,7 +128,7 @@
 
     m_request = request;
     evhtp_request_pause(request);
-    m_context.handler(std::make_shared<http_exchange>(weak_from_this(), readRequest(request)));
+    m_context.handler(std::make_shared<http_exchange>(weak_from_this(), readRequest(request, m_query)));
 }
 
 bool http_connection::isBusy() const
@@ -207,14 +207,16 @@
     return EVHTP_RES_OK;
 }
 
-evhtp_res http_connection::onHeaders(evhtp_request_t *, evhtp_headers_t *headers, void *argument)
+evhtp_res http_connection::onHeaders(evhtp_request_t *request, evhtp_headers_t *headers, void *argument)
 {
-    static_cast<http_connection *>(argument)->checkHeaders(headers);
+    static_cast<http_connection *>(argument)->checkHeaders(request, headers);
     return EVHTP_RES_OK;
 }
 
-void http_connection::checkHeaders(evhtp_headers_t *headers)
+void http_connection::checkHeaders(evhtp_request_t *request, evhtp_headers_t *headers)
 {
+    m_query = request->uri != nullptr ? text(reinterpret_cast<const char *>(request->uri->query_raw)) : std::string();
+
     const char *lengthText = evhtp_header_find(headers, "Content-Length");
     if (lengthText == nullptr) {
         return;
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -63,7 +63,7 @@
     static evhtp_res onClosed(evhtp_connection_t *connection, void *argument);
 
     void beginRequest();
-    void checkHeaders(evhtp_headers_t *headers);
+    void checkHeaders(evhtp_request_t *request, evhtp_headers_t *headers);
     void end(evhtp_connection_t *connection);
     void closeWith(const http_response &response);
     void handOver(int socket);
@@ -71,6 +71,7 @@
     context &m_context;
     evhtp_connection_t *m_connection;
     evhtp_request_t *m_request = nullptr; /**< The request that waits for its answer. */
+    std::string m_query; /**< As it came with the path; libevhtp adds the fields of a form body to its own. */
     std::size_t m_headerBytes = 0;
     std::size_t m_bodyBytes = 0;
     bool m_reading = false;
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -65,6 +65,15 @@
     CHECK(answer.find("POST /a/b?x=1 hello") != std::string::npos);
 }
 
+// Guards against the fields of a form body that end up in the query (seen with libevhtp).
+TEST_CASE("a form body stays a body")
+{
+    echo_server fixture;
+    raw_connection caller(fixture.loop, fixture.port);
+    caller.send("POST /form HTTP/1.1\r\nHost: h\r\nContent-Type: application/x-www-form-urlencoded\r\nContent-Length: 7\r\n\r\na=1&b=2");
+    CHECK(caller.receive("b=2").find("POST /form? a=1&b=2") != std::string::npos);
+}
+
 // Guards against bad input that gets no clear error, holds a connection, or costs another caller anything.
 TEST_CASE("bad input is refused with its own status and closes only its own connection")
 {
