--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -1,6 +1,8 @@
 # Functions to run a whole deployment on loopback: stand-ins and seven entry hosts in four data centres.
 # Source it, then: cluster_prepare <build folder> <deployment> <two-digit port prefix>; cluster_start; ...; cluster_stop.
 # Ports: <prefix>001.. endpoints, <prefix>101.. callers, <prefix>201.. operators, <prefix>301.. peers, <prefix>900 log, <prefix>901 host list.
+# With cluster_linked_data_centre set to a number from 0 to 3 before cluster_prepare, links (standin-link) are between that data centre's entry hosts and
+# the other entry hosts and the log: <prefix>401.. peers, <prefix>910 log, <prefix>902 host list of the data centre, <prefix>903 control of the links.
 
 cluster_root=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 declare -A cluster_pids=()
@@ -28,7 +30,8 @@
     done
     cluster_endpoint_names=$(grep -o '"host": "[^"]*"' "$cluster_dir/pools.json" | cut -d'"' -f4 | paste -sd,)
     cluster_endpoint_count=$(grep -c '"host": "' "$cluster_dir/pools.json")
-    cluster_write_host_list
+    cluster_write_host_list "$cluster_dir/hosts.json" outside
+    cluster_write_host_list "$cluster_dir/hosts-inside.json" inside
     local number
     for number in $(seq "$cluster_entry_count"); do
         cluster_write_settings "$number"
@@ -39,10 +42,18 @@
 cluster_caller_address() { echo "127.0.0.1:${cluster_prefix}10$1"; }
 cluster_admin_address() { echo "127.0.0.1:${cluster_prefix}20$1"; }
 cluster_peer_address() { echo "127.0.0.1:${cluster_prefix}30$1"; }
+# Whether an entry host is in the linked data centre, "inside" or "outside".
+cluster_side() { if [ "$((($1 - 1) % 4))" = "${cluster_linked_data_centre:-}" ]; then echo inside; else echo outside; fi; }
+# cluster_seen_peer_address <entry host number> <side>: the peer address as entry hosts of a side use it; across the sides it is a link's.
+cluster_seen_peer_address() {
+    if [ -z "${cluster_linked_data_centre:-}" ] || [ "$(cluster_side "$1")" = "$2" ]; then cluster_peer_address "$1"; else echo "127.0.0.1:${cluster_prefix}40$1"; fi
+}
+cluster_link_control_address() { echo "127.0.0.1:${cluster_prefix}903"; }
 cluster_log_address() { echo "127.0.0.1:${cluster_prefix}900"; }
 cluster_host_list_address() { echo "127.0.0.1:${cluster_prefix}901"; }
 cluster_endpoints() { echo "127.0.0.1:${cluster_prefix}001,$cluster_endpoint_count"; }
 
+# cluster_write_host_list <file> <side>
 cluster_write_host_list() {
     local endpoints entries number
     endpoints=$(grep '"host": "' "$cluster_dir/pools.json" | sed -E 's/^ *//; s/,$//' |
@@ -50,14 +61,21 @@
     entries=""
     for number in $(seq "$cluster_entry_count"); do
         entries+=",{\"host\": \"entry-$number\", \"region\": \"$cluster_region\", \"dataCentre\": \"$(cluster_entry_data_centre "$number")\","
-        entries+=" \"rack\": \"entry\", \"address\": \"$(cluster_peer_address "$number")\", \"role\": \"entry\", \"state\": \"live\"}"
+        entries+=" \"rack\": \"entry\", \"address\": \"$(cluster_seen_peer_address "$number" "$2")\", \"role\": \"entry\", \"state\": \"live\"}"
     done
-    echo "{\"hosts\": [$endpoints$entries]}" >"$cluster_dir/hosts.json"
+    echo "{\"hosts\": [$endpoints$entries]}" >"$1"
 }
 
 # Extra settings, such as '"claimStreams": 1,', may be given in cluster_extra_settings.
 cluster_write_settings() {
-    local number=$1
+    local number=$1 side log_address host_list_address
+    side=$(cluster_side "$number")
+    log_address=$(cluster_log_address)
+    host_list_address=$(cluster_host_list_address)
+    if [ "$side" = inside ]; then
+        log_address="127.0.0.1:${cluster_prefix}910"
+        host_list_address="127.0.0.1:${cluster_prefix}902"
+    fi
     cat >"$cluster_dir/entry-$number.json" <<SETTINGS
 {
     "entryHost": "entry-$number",
@@ -66,9 +84,9 @@
     "callerAddress": "$(cluster_caller_address "$number")",
     "adminAddress": "$(cluster_admin_address "$number")",
     "peerAddress": "$(cluster_peer_address "$number")",
-    "logAddresses": ["$(cluster_log_address)"],
-    "hostListAddresses": ["$(cluster_host_list_address)"],
-    "peers": ["$(cluster_peer_address 1)", "$(cluster_peer_address 2)"],
+    "logAddresses": ["$log_address"],
+    "hostListAddresses": ["$host_list_address"],
+    "peers": ["$(cluster_seen_peer_address 1 "$side")", "$(cluster_seen_peer_address 2 "$side")"],
     "peerKey": "shared-key-of-the-demonstration",
     "operatorTokenSha256": "$(cluster_sha256 "$cluster_operator_token")",
     ${cluster_extra_settings:-}
@@ -98,12 +116,24 @@
     cluster_launch endpoints "$cluster_build/standin-endpoint" --listen "127.0.0.1:${cluster_prefix}001" --count "$cluster_endpoint_count" \
         --names "$cluster_endpoint_names" "$@"
 }
+# Links have the names in-<n> (from outside to entry host n), out-<n> (from inside to entry host n) and log.
+cluster_launch_links() {
+    local number links=(--link "log=127.0.0.1:${cluster_prefix}910=$(cluster_log_address)")
+    for number in $(seq "$cluster_entry_count"); do
+        local name=out
+        [ "$(cluster_side "$number")" = inside ] && name=in
+        links+=(--link "$name-$number=127.0.0.1:${cluster_prefix}40$number=$(cluster_peer_address "$number")")
+    done
+    cluster_launch links "$cluster_build/standin-link" --control "$(cluster_link_control_address)" "${links[@]}"
+    cluster_launch hostlist-inside "$cluster_build/standin-hostlist" --listen "127.0.0.1:${cluster_prefix}902" --hosts "$cluster_dir/hosts-inside.json"
+}
 cluster_launch_entry() { cluster_launch "entry-$1" "$cluster_build/parsleygladed" --settings "$cluster_dir/entry-$1.json"; }
 
 cluster_start() {
     cluster_launch_log
     cluster_launch_host_list
     cluster_launch_endpoints
+    [ -n "${cluster_linked_data_centre:-}" ] && cluster_launch_links
     local number
     for number in $(seq "$cluster_entry_count"); do
         cluster_launch_entry "$number"
@@ -142,6 +172,11 @@
 # cluster_fault <address> <json>: sets a stand-in's fault switches.
 cluster_fault() { curl --silent --show-error --fail-with-body --max-time 5 -X PUT -d "$2" "http://$1/v1/faults" >/dev/null; }
 
+# cluster_link_fault <name prefix> <json>: sets the faults of the links whose names begin with the prefix; faults that are not named end.
+cluster_link_fault() {
+    curl --silent --show-error --fail-with-body --max-time 5 -X PUT -d "$2" "http://$(cluster_link_control_address)/v1/faults/$1" >/dev/null
+}
+
 # A new UUID version 7.
 cluster_key() {
     local random
