--- a/tools/measure-fleet/spare_run.cpp
+++ b/tools/measure-fleet/spare_run.cpp
@@ -137,7 +137,7 @@
 
     bool append(const wire::fleet_record &record)
     {
-        return m_fold.apply(m_fold.nextOffset(), record) == fold_step::applied;
+        return m_fold.apply(m_fold.nextOffset(), record) == fleet_step::applied;
     }
 
     void arrive()
