Test that a new entry host without a configuration denies no job; fails

An entry host that starts in a data centre cut off from the log and from all peers has no configuration. The partition test now sends it a job that ran before the cut.

The test fails: the entry host answers 404 unknown_route with Job-State: not-run and without Retry-After, although the job ran.

--- a/tests/processes/partition_test.sh
+++ b/tests/processes/partition_test.sh
@@ -73,3 +73,19 @@
 check "after the cuts: the oracle finds nothing wrong" load_end afterwards
 check "after the cuts every job is completed" same "$(load_count completed)" "$(load_count jobs)"
 check "every process still runs" all_running
+
+echo "-- an entry host that starts cut off has no configuration and knows nothing of earlier jobs"
+key=$(cluster_key)
+send_again() { cluster_call 3 /lathe/paths -X POST -H "Idempotency-Key: $key" -d "run before the cut" -D "$cluster_dir/headers" -o "$cluster_dir/answer"; }
+check "a job is sent" send_again
+check "it ran" grep -q '^Job-State: completed' "$cluster_dir/headers"
+cluster_kill entry-3
+cluster_kill entry-7
+check "the data centre is cut off" cluster_link_fault "" "$both"
+check "its host list goes down" cluster_fault "127.0.0.1:${cluster_prefix}902" '{"outage":true}'
+cluster_launch_entry 3
+must "the new process of entry-3 is up" cluster_wait_until "entry-3 is up" cluster_admin 3 /healthz
+check "the job is sent again" send_again
+tr -d '\r' <"$cluster_dir/headers"
+check "it is not answered not-run" same "$(grep -c '^Job-State: not-run' "$cluster_dir/headers")" 0
+check "the caller is told to retry" grep -q '^Retry-After:' "$cluster_dir/headers"
