Give each run of a process test a loopback address of its own

Two runs of one test at once, from two build folders, took each other's ports. Every run now listens at a random address of 127.0.0.0/8; the demonstration stays at 127.0.0.1.

--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -7,6 +7,8 @@
 cluster_root=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 declare -A cluster_pids=()
 cluster_entry_count=7
+# Any address of 127.0.0.0/8; runs with addresses of their own may use the same ports at once.
+cluster_ip=${cluster_ip:-127.0.0.1}
 cluster_operator_token=operator-demo-token
 cluster_caller_token=clinic-demo-token
 cluster_other_caller_token=workshop-demo-token
@@ -26,7 +28,7 @@
 
     local table
     for table in routes pools; do
-        sed -E "s/127\.0\.0\.1:2[0-9]/127.0.0.1:$cluster_prefix/" "$cluster_root/examples/$cluster_deployment/$table.json" >"$cluster_dir/$table.json"
+        sed -E "s/127\.0\.0\.1:2[0-9]/$cluster_ip:$cluster_prefix/" "$cluster_root/examples/$cluster_deployment/$table.json" >"$cluster_dir/$table.json"
     done
     cluster_endpoint_names=$(grep -o '"host": "[^"]*"' "$cluster_dir/pools.json" | cut -d'"' -f4 | paste -sd,)
     cluster_endpoint_count=$(grep -c '"host": "' "$cluster_dir/pools.json")
@@ -39,9 +41,9 @@
 }
 
 cluster_entry_data_centre() { echo "${cluster_data_centres[$((($1 - 1) % 4))]}"; }
-cluster_caller_address() { echo "127.0.0.1:${cluster_prefix}10$1"; }
-cluster_admin_address() { echo "127.0.0.1:${cluster_prefix}20$1"; }
-cluster_peer_address() { echo "127.0.0.1:${cluster_prefix}30$1"; }
+cluster_caller_address() { echo "$cluster_ip:${cluster_prefix}10$1"; }
+cluster_admin_address() { echo "$cluster_ip:${cluster_prefix}20$1"; }
+cluster_peer_address() { echo "$cluster_ip:${cluster_prefix}30$1"; }
 # Whether an entry host is in the linked data centre, "inside" or "outside".
 cluster_side() { if [ "$((($1 - 1) % 4))" = "${cluster_linked_data_centre:-}" ]; then echo inside; else echo outside; fi; }
 # cluster_seen_peer_address <entry host number> <side>: the peer address as entry hosts of a side use it; across the sides it is a link's.
@@ -49,13 +51,13 @@
     if [ -z "${cluster_linked_data_centre:-}" ] || [ "$(cluster_side "$1")" = "$2" ]; then
         cluster_peer_address "$1"
     else
-        echo "127.0.0.1:${cluster_prefix}40$1"
+        echo "$cluster_ip:${cluster_prefix}40$1"
     fi
 }
-cluster_link_control_address() { echo "127.0.0.1:${cluster_prefix}903"; }
-cluster_log_address() { echo "127.0.0.1:${cluster_prefix}900"; }
-cluster_host_list_address() { echo "127.0.0.1:${cluster_prefix}901"; }
-cluster_endpoints() { echo "127.0.0.1:${cluster_prefix}001,$cluster_endpoint_count"; }
+cluster_link_control_address() { echo "$cluster_ip:${cluster_prefix}903"; }
+cluster_log_address() { echo "$cluster_ip:${cluster_prefix}900"; }
+cluster_host_list_address() { echo "$cluster_ip:${cluster_prefix}901"; }
+cluster_endpoints() { echo "$cluster_ip:${cluster_prefix}001,$cluster_endpoint_count"; }
 
 # cluster_write_host_list <file> <side>
 cluster_write_host_list() {
@@ -77,8 +79,8 @@
     log_address=$(cluster_log_address)
     host_list_address=$(cluster_host_list_address)
     if [ "$side" = inside ]; then
-        log_address="127.0.0.1:${cluster_prefix}910"
-        host_list_address="127.0.0.1:${cluster_prefix}902"
+        log_address="$cluster_ip:${cluster_prefix}910"
+        host_list_address="$cluster_ip:${cluster_prefix}902"
     fi
     cat >"$cluster_dir/entry-$number.json" <<SETTINGS
 {
@@ -117,19 +119,19 @@
     cluster_launch hostlist "$cluster_build/standin-hostlist" --listen "$(cluster_host_list_address)" --hosts "$cluster_dir/hosts.json" "$@"
 }
 cluster_launch_endpoints() {
-    cluster_launch endpoints "$cluster_build/standin-endpoint" --listen "127.0.0.1:${cluster_prefix}001" --count "$cluster_endpoint_count" \
+    cluster_launch endpoints "$cluster_build/standin-endpoint" --listen "$cluster_ip:${cluster_prefix}001" --count "$cluster_endpoint_count" \
         --names "$cluster_endpoint_names" "$@"
 }
 # Links have the names in-<n> (from outside to entry host n), out-<n> (from inside to entry host n) and log.
 cluster_launch_links() {
-    local number links=(--link "log=127.0.0.1:${cluster_prefix}910=$(cluster_log_address)")
+    local number links=(--link "log=$cluster_ip:${cluster_prefix}910=$(cluster_log_address)")
     for number in $(seq "$cluster_entry_count"); do
         local name=out
         [ "$(cluster_side "$number")" = inside ] && name=in
-        links+=(--link "$name-$number=127.0.0.1:${cluster_prefix}40$number=$(cluster_peer_address "$number")")
+        links+=(--link "$name-$number=$cluster_ip:${cluster_prefix}40$number=$(cluster_peer_address "$number")")
     done
     cluster_launch links "$cluster_build/standin-link" --control "$(cluster_link_control_address)" "${links[@]}"
-    cluster_launch hostlist-inside "$cluster_build/standin-hostlist" --listen "127.0.0.1:${cluster_prefix}902" --hosts "$cluster_dir/hosts-inside.json"
+    cluster_launch hostlist-inside "$cluster_build/standin-hostlist" --listen "$cluster_ip:${cluster_prefix}902" --hosts "$cluster_dir/hosts-inside.json"
 }
 cluster_launch_entry() { cluster_launch "entry-$1" "$cluster_build/parsleygladed" --settings "$cluster_dir/entry-$1.json"; }
 
--- a/tests/processes/leaving_endpoint_test.sh
+++ b/tests/processes/leaving_endpoint_test.sh
@@ -4,7 +4,7 @@
 source "$(dirname "$0")/support.sh" "${1:?build folder}" hung-phat 27
 start_deployment
 
-endpoint_address() { grep "\"host\": \"$1\"" "$cluster_dir/pools.json" | grep -oE '127\.0\.0\.1:[0-9]+'; }
+endpoint_address() { grep "\"host\": \"$1\"" "$cluster_dir/pools.json" | grep -oE '127\.[0-9.]+:[0-9]+'; }
 rack_hosts() { grep "\"rack\": \"$1\"" "$cluster_dir/pools.json" | grep -oE '"host": "[^"]*"' | cut -d'"' -f4; }
 executions_of() { curl --silent --max-time 5 "http://$(endpoint_address "$1")/v1/executions"; }
 received_by() { executions_of "$1" | grep -oE '"received": *[0-9]+' | head -1 | grep -oE '[0-9]+$'; }
--- a/tests/processes/partition_test.sh
+++ b/tests/processes/partition_test.sh
@@ -22,7 +22,7 @@
     done
 }
 heal() {
-    cluster_link_fault "" '{}' && cluster_fault "127.0.0.1:${cluster_prefix}902" '{"outage":false}'
+    cluster_link_fault "" '{}' && cluster_fault "$cluster_ip:${cluster_prefix}902" '{"outage":false}'
 }
 
 # Load on both sides: repeated keys reach entry hosts on either side of the cut.
@@ -35,7 +35,7 @@
 echo "-- cut both ways, host list down too"
 both='{"cutToTarget":true,"cutFromTarget":true}'
 check "the data centre is cut off" cluster_link_fault "" "$both"
-check "its host list goes down" cluster_fault "127.0.0.1:${cluster_prefix}902" '{"outage":true}'
+check "its host list goes down" cluster_fault "$cluster_ip:${cluster_prefix}902" '{"outage":true}'
 sleep 1
 check "revision 2 is published meanwhile" publish_deadline 1 11000
 sleep 4
@@ -82,7 +82,7 @@
 cluster_kill entry-3
 cluster_kill entry-7
 check "the data centre is cut off" cluster_link_fault "" "$both"
-check "its host list goes down" cluster_fault "127.0.0.1:${cluster_prefix}902" '{"outage":true}'
+check "its host list goes down" cluster_fault "$cluster_ip:${cluster_prefix}902" '{"outage":true}'
 cluster_launch_entry 3
 must "the new process of entry-3 is up" cluster_wait_until "entry-3 is up" cluster_admin 3 /healthz
 check "the job is sent again" send_again
--- a/tests/processes/support.sh
+++ b/tests/processes/support.sh
@@ -1,6 +1,8 @@
 # Common parts of the process tests. Source it as: source support.sh <build folder> <deployment> <two-digit port prefix>
 # A test counts its failed checks; when it ends, every started process is stopped by its id and the exit status is 1 if a check failed.
 
+# An address of its own keeps concurrent runs apart; all of 127.0.0.0/8 is loopback.
+cluster_ip="127.$((RANDOM % 250 + 1)).$((RANDOM % 250 + 1)).1"
 source "$(dirname "${BASH_SOURCE[0]}")/../../scripts/lib/cluster.sh"
 export PARSLEYGLADE_TOKEN=$cluster_operator_token
 test_failures=0
@@ -97,7 +99,7 @@
 endpoint_sum() {
     local index sum=0 value
     for index in $(seq "$cluster_endpoint_count"); do
-        value=$(curl --silent --max-time 5 "http://127.0.0.1:$((cluster_prefix * 1000 + index))/v1/executions" | sed "s/.*\"${2:-host}\"//" |
+        value=$(curl --silent --max-time 5 "http://$cluster_ip:$((cluster_prefix * 1000 + index))/v1/executions" | sed "s/.*\"${2:-host}\"//" |
             grep -oE "\"$1\": *[0-9]+" | head -1 | grep -oE '[0-9]+$')
         sum=$((sum + ${value:-0}))
     done
