Test that a changed route denies no job that ran; fails

The configuration test sends a job, publishes a smaller body limit and then another path, and sends the job again after each.

The test fails: both answers are not-run (413 body_too_large, 404 unknown_route), although the job ran and GET /v1/jobs/{key} says completed. The checks of the request come before the look-up of the key.

--- a/tests/processes/configuration_test.sh
+++ b/tests/processes/configuration_test.sh
@@ -100,3 +100,18 @@
 check "the log is up to date" cluster_fault "$(cluster_log_address)" '{"staleReads":0}'
 check "the next revision is published" publish_at 7 refused.json 32 --wait
 check "it is in force everywhere" everywhere 33
+
+echo "-- a job that ran is not denied after its route has changed"
+key=$(cluster_key)
+send_again() { cluster_call 2 /lathe/paths -X POST -H "Idempotency-Key: $key" -d "ran before the change" -D "$cluster_dir/headers" -o /dev/null; }
+not_denied() { ! grep '^Job-State: not-run' "$cluster_dir/headers"; }
+check "a job is sent" send_again
+check "it ran" grep -q '^Job-State: completed' "$cluster_dir/headers"
+sed '/"lathe-path"/s/"maximumBodyBytes": [0-9]*/"maximumBodyBytes": 5/' "$cluster_dir/routes.json" >"$cluster_dir/smaller.json"
+check "a smaller body limit is published" publish_at 1 smaller.json 33 --wait
+check "the job is sent again" send_again
+check "it is not answered not-run after the limit has changed" not_denied
+sed 's|"path": "/lathe/paths"|"path": "/lathe/other-paths"|' "$cluster_dir/routes.json" >"$cluster_dir/moved.json"
+check "another path is published" publish_at 1 moved.json 34 --wait
+check "the job is sent again" send_again
+check "it is not answered not-run after the path has changed" not_denied
