Answer truthfully where a request is refused before its key was looked up

Cause: process tests found that a job that had run was answered not-run by an entry host without tables (404 unknown_route), after its route had been changed (404), and after its limit had been lowered (413). Mistakes between tables were reported only once each table was correct by itself.

Change: not_configured (223) before the first tables; a refusal with a valid key looks the key up first; mistakes between entries are added to those of entries; an entry host is ready once it has registered, while the log can be reached.

--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -50,6 +50,8 @@
     result_code_row{result_code::job_not_found, "job_not_found", 404, "No job of this caller with this key is known."},
     result_code_row{result_code::too_many_connections, "too_many_connections", 503, "Close idle connections and retry after the stated time."},
 
+    result_code_row{result_code::not_configured, "not_configured", 503, "Retry after the stated time; the entry host has no tables yet."},
+
     result_code_row{result_code::answer_cut, "answer_cut", 502, "Check whether the job ran; a retry with the same key does not run it again."},
     result_code_row{result_code::answer_timeout, "answer_timeout", 504, "Check whether the job ran; a retry with the same key does not run it again."},
     result_code_row{result_code::dispatcher_lost, "dispatcher_lost", 502, "Check whether the job ran; a retry with the same key does not run it again."},
--- a/src/core/result_code.h
+++ b/src/core/result_code.h
@@ -51,6 +51,7 @@
     method_not_allowed = 220,
     job_not_found = 221,
     too_many_connections = 222,
+    not_configured = 223,
 
     // The job may have run.
     answer_cut = 300,
--- a/src/entry/caller_task.cpp
+++ b/src/entry/caller_task.cpp
@@ -112,16 +112,38 @@
         return;
     }
 
+    if (m_tables == nullptr) {
+        exchange->respond(
+            makeAnswer({job_answer::outcome_unknown, result_code::not_configured, "this entry host has no tables yet", {}, {}}, requestId, std::nullopt));
+        return;
+    }
+
     const route *via = m_tables->findRoute(request.method, request.path);
     if (via == nullptr) {
         const bool isOtherMethod = m_tables->routes().hasPath(request.path);
-        exchange->respond(makeRefusal(isOtherMethod ? result_code::method_not_allowed : result_code::unknown_route, {}, requestId));
+        refuse(exchange, *caller, isOtherMethod ? result_code::method_not_allowed : result_code::unknown_route, requestId);
         return;
     }
 
     submit(exchange, *caller, *via, requestId);
 }
 
+void caller_task::refuse(const std::shared_ptr<http_exchange> &exchange, const caller_settings &caller, result_code code, const std::string &requestId)
+{
+    const auto header = findHeader(exchange->request().headers, "Idempotency-Key");
+    const auto key = header ? job_key::parse(*header) : outcome<job_key>(failure{});
+    if (!key) {
+        exchange->respond(makeRefusal(code, {}, requestId));
+        return;
+    }
+
+    // The job may have run before its route was changed, and then "not run" would be wrong.
+    m_jobs.query(*key, caller.id(), [exchange, code, requestId, key = *key](const job_outcome &known) {
+        const bool isUnclaimed = known.answer == job_answer::not_run;
+        exchange->respond(isUnclaimed ? makeRefusal(code, {}, requestId) : makeAnswer(known, requestId, key));
+    });
+}
+
 outcome<std::optional<job_key>> caller_task::readKey(const http_request &request, const route &via)
 {
     const auto header = findHeader(request.headers, "Idempotency-Key");
@@ -143,7 +165,7 @@
 {
     const http_request &request = exchange->request();
     if (request.body.size() > static_cast<std::size_t>(via.maximumBodyBytes)) {
-        exchange->respond(makeRefusal(result_code::body_too_large, "the route takes smaller bodies only", requestId));
+        refuse(exchange, caller, result_code::body_too_large, requestId);
         return;
     }
 
--- a/src/entry/caller_task.h
+++ b/src/entry/caller_task.h
@@ -24,6 +24,7 @@
     /** Listens. Fails when the address can't be bound. */
     outcome<std::uint16_t> start();
 
+    /** Takes over the tables in force. Until the first call requests are refused with not_configured. */
     void setTables(const std::shared_ptr<const tables> &published);
 
     /** Accepts no more connections; requests in flight are answered. */
@@ -35,6 +36,7 @@
     void handle(const std::shared_ptr<http_exchange> &exchange);
     void handleJobRequest(const std::shared_ptr<http_exchange> &exchange, const caller_settings &caller, const std::string &requestId);
     void submit(const std::shared_ptr<http_exchange> &exchange, const caller_settings &caller, const route &via, const std::string &requestId);
+    void refuse(const std::shared_ptr<http_exchange> &exchange, const caller_settings &caller, result_code code, const std::string &requestId);
     const caller_settings *authenticate(const http_request &request) const;
     std::string requestIdOf(const http_request &request);
     static outcome<std::optional<job_key>> readKey(const http_request &request, const route &via);
@@ -43,7 +45,7 @@
     job_task &m_jobs;
     std::unordered_map<std::string, caller_settings> m_callers; /**< By the SHA-256 of their tokens. */
     std::unordered_map<caller_id, std::size_t> m_inFlight; /**< Requests of each caller that wait for their answers. */
-    std::shared_ptr<const tables> m_tables = std::make_shared<tables>();
+    std::shared_ptr<const tables> m_tables; /**< Null before the first configuration. */
     std::mt19937_64 m_random{std::random_device{}()};
     http_server m_server;
 };
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -108,7 +108,9 @@
 
 bool entry_daemon::isReady() const
 {
-    return !m_isStopping && m_configuration.fold().revision() > 0;
+    // While the log can't be reached a new process can't register; it is still of use, as it passes requests to registered peers.
+    const bool mayWork = m_fleet.fold().mayPlace(m_peers.incarnation()) || !m_configuration.isLogReachable();
+    return !m_isStopping && m_configuration.fold().revision() > 0 && mayWork;
 }
 
 void entry_daemon::stop(std::function<void()> stopped)
--- a/src/tables/parse_tables.cpp
+++ b/src/tables/parse_tables.cpp
@@ -178,6 +178,31 @@
     }
 }
 
+/** Whether a failure leaves the entries, or the names by which they are joined, unknown. */
+bool hidesEntries(const failure &found)
+{
+    const std::string &pointer = found.pointer;
+    const bool isWholeTable = pointer.empty() || pointer == "/routes" || pointer == "/pools";
+    const bool isPoolKey = pointer.compare(0, 7, "/pools/") == 0 && (pointer.ends_with("/name") || pointer.ends_with("/hosts") || pointer.ends_with("/host"));
+    return isWholeTable || isPoolKey;
+}
+
+/** Adds the mistakes between entries, as far as the entries can be told; a value that is wrong by itself is not reported twice. */
+void addJoinFailures(std::vector<route> routes, std::vector<pool> pools, std::vector<failure> &failures)
+{
+    if (std::any_of(failures.begin(), failures.end(), hidesEntries)) {
+        return;
+    }
+
+    const outcome<tables> joined = tables::join(std::move(routes), std::move(pools));
+    for (const failure &found : joined.failures()) {
+        const bool isKnown = std::any_of(failures.begin(), failures.end(), [&](const failure &known) { return known.pointer == found.pointer; });
+        if (!isKnown && failures.size() < json_checker::maximumFailures) {
+            failures.push_back(found);
+        }
+    }
+}
+
 } // namespace
 
 outcome<tables> parseTables(std::string_view routesJson, std::string_view poolsJson)
@@ -186,6 +211,7 @@
     std::vector<route> routes = readTable<route>(routesJson, "routes", maximumRoutes, readRoute, failures);
     std::vector<pool> pools = readTable<pool>(poolsJson, "pools", maximumPools, readPool, failures);
     if (!failures.empty()) {
+        addJoinFailures(std::move(routes), std::move(pools), failures);
         return failures;
     }
 
