Select coordinators by who reaches the log, not by who is ready

Cause: since readiness waits for the registration, coordinators changed 1.6 s after a start, in the middle of thin_path_test: two of three requests with one key were answered still-running at the handover, and the answer was not kept at the new coordinator (truthful, but of no use to the caller).

Change: heartbeats say that the log is reachable unless the host is stopping, and only that selects coordinators. Pool figures go with every tenth heartbeat.

--- a/src/entry/claim_task.cpp
+++ b/src/entry/claim_task.cpp
@@ -105,7 +105,7 @@
         candidates.push_back(m_peers.self());
     }
     for (const peer_state &peer : m_peers.livePeers()) {
-        if (peer.beat.ready && peer.beat.logReachable) {
+        if (peer.beat.logReachable) {
             candidates.push_back(peer.identity.entryHost);
         }
     }
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -79,7 +79,8 @@
     beat.configurationDigest = m_configuration.fold().digest();
     beat.fleetOffset = static_cast<std::int64_t>(m_fleet.fold().nextOffset());
     beat.ready = isReady();
-    beat.logReachable = m_configuration.isLogReachable();
+    // A stopping host serves no stream, whatever it reaches.
+    beat.logReachable = m_configuration.isLogReachable() && !m_isStopping;
     beat.loads = m_jobs.dispatch().loads();
     beat.pools = m_planner.poolLoads();
     beat.unhealthyHosts = m_planner.unhealthyHosts();
--- a/src/entry/peer_task.cpp
+++ b/src/entry/peer_task.cpp
@@ -12,6 +12,9 @@
 /** Every n-th heartbeat goes to the other data centres too, without load. */
 constexpr int beatsBetweenDataCentres = 5;
 
+/** Every n-th heartbeat carries the pools' figures, which plans use once a second; they are most of its bytes. */
+constexpr int beatsBetweenPoolFigures = 10;
+
 /** Three heartbeats between data centres; a peer that is silent for longer does not count as live. */
 constexpr duration liveLimit = std::chrono::milliseconds{1500};
 
@@ -48,7 +51,10 @@
     for (const std::string &address : m_addresses) {
         connect(address);
     }
-    m_beatTimer = m_loop.every(beatInterval, [this] { beat(m_beatCount++ % beatsBetweenDataCentres == 0); });
+    m_beatTimer = m_loop.every(beatInterval, [this] {
+        beat(m_beatCount % beatsBetweenDataCentres == 0);
+        ++m_beatCount;
+    });
     return port;
 }
 
@@ -99,6 +105,9 @@
     }
 
     wire::heartbeat full = m_heartbeat();
+    if (m_beatCount % beatsBetweenPoolFigures != 0) {
+        full.pools.clear();
+    }
     wire::heartbeat brief = full;
     brief.loads.clear();
     wire::peer_message withLoads;
@@ -142,7 +151,9 @@
     }
 
     peer_state &state = m_peers[peer.entryHost];
+    std::vector<wire::pool_load> pools = beat.pools.empty() ? std::move(state.beat.pools) : beat.pools;
     state = peer_state{peer, beat, m_loop.now()};
+    state.beat.pools = std::move(pools);
     for (listener *observer : m_listeners) {
         observer->peerHeard(state);
     }
