--- a/src/entry/fleet_task.cpp
+++ b/src/entry/fleet_task.cpp
@@ -36,6 +36,8 @@
     , m_region(settings.region)
     , m_dataCentre(settings.dataCentre)
     , m_membership(peers.incarnation(), settings.dataCentre)
+    , m_snapshotInterval(std::min<duration>(settings.snapshotInterval, settings.logRetention / 2))
+    , m_snapshotAt(loop.now())
     , m_follower(loop, log, streamName,
                  {[this] { return std::max(m_readFrom, m_fold.nextOffset()); }, [this](const std::vector<log_record> &records) { applyRecords(records); },
                   [this](log_offset earliest) {
@@ -229,6 +231,41 @@
     registerIfNeeded();
     acknowledgeMoves();
     completeMoves();
+    writeSnapshotIfDue();
+}
+
+void fleet_task::writeSnapshotIfDue()
+{
+    const bool isDue = m_loop.now() - m_snapshotAt >= m_snapshotInterval && m_fold.nextOffset() > m_afterSnapshot;
+    if (!isDue || m_isWritingSnapshot) {
+        return;
+    }
+
+    std::vector<std::string> candidates{m_peers.self()};
+    for (const peer_state &peer : m_peers.livePeers()) {
+        if (peer.beat.logReachable) {
+            candidates.push_back(peer.identity.entryHost);
+        }
+    }
+    if (selectByRendezvous("fleet snapshot", candidates) != m_peers.self()) {
+        return;
+    }
+
+    // A snapshot counts only directly after the state that it shows; one that other records overtook is written again.
+    m_isWritingSnapshot = true;
+    const log_offset expected = m_fold.nextOffset();
+    const auto snapshot = m_fold.snapshot(m_peers.incarnation(), static_cast<std::int64_t>(m_random() >> 1) | 1, m_loop.wallNow().time_since_epoch().count());
+    m_log.append(streamName, encode(snapshot), [this, expected, alive = std::weak_ptr<bool>(m_alive)](const append_result &result) {
+        if (alive.expired()) {
+            return;
+        }
+        m_isWritingSnapshot = false;
+        if (result.status == append_status::appended && result.offset == expected) {
+            m_snapshotAt = m_loop.now();
+            m_afterSnapshot = expected + 1;
+            m_logger.info("snapshot written", {{"offset", expected}});
+        }
+    });
 }
 
 void fleet_task::appendOnce(const std::string &purpose, const wire::fleet_record &record)
--- a/src/entry/fleet_task.h
+++ b/src/entry/fleet_task.h
@@ -82,6 +82,7 @@
     void registerIfNeeded();
     void acknowledgeMoves();
     void completeMoves();
+    void writeSnapshotIfDue();
     void appendOnce(const std::string &purpose, const wire::fleet_record &record);
 
     event_loop &m_loop;
@@ -93,6 +94,10 @@
     membership m_membership;
     fleet_fold m_fold;
     log_offset m_readFrom = 0;
+    duration m_snapshotInterval;
+    time_point m_snapshotAt{};
+    log_offset m_afterSnapshot = 0; /**< Offset after the last snapshot that this process wrote. */
+    bool m_isWritingSnapshot = false;
     bool m_hasRead = false;
     bool m_isRetiring = false;
     fleet_tables m_tables;
