Repair the property test of damaged bytes and follow the linter

Change: the same condition is worked out before the assertion, which is as strict; no multiplication in int and no move that copies.

--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t maximumKeyBytes = 256;
 constexpr std::size_t sha256HexBytes = 64;
 constexpr std::int64_t millisecondsPerMinute = 60'000;
-constexpr std::int64_t minutesPerDay = 24 * 60;
+constexpr std::int64_t minutesPerDay = std::int64_t{24} * 60;
 constexpr std::int64_t largestBodyBytes = std::int64_t{3} * 1024 * 1024;
 
 std::vector<std::string> readAddresses(json_checker list, std::size_t minimum)
--- a/src/entry/peer_task.cpp
+++ b/src/entry/peer_task.cpp
@@ -151,7 +151,10 @@
     }
 
     peer_state &state = m_peers[peer.entryHost];
-    std::vector<wire::pool_load> pools = beat.pools.empty() ? std::move(state.beat.pools) : beat.pools;
+    std::vector<wire::pool_load> pools = beat.pools;
+    if (pools.empty()) {
+        pools.swap(state.beat.pools);
+    }
     state = peer_state{peer, beat, m_loop.now()};
     state.beat.pools = std::move(pools);
     for (listener *observer : m_listeners) {
--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -35,13 +35,15 @@
 {
     rc::prop("random bytes", [](const std::string &bytes) {
         const auto decoded = decode<wire::peer_message>(bytes);
-        RC_ASSERT(decoded.hasValue() || decoded.lastReason().code == result_code::corrupt_record);
+        const bool isClear = decoded.hasValue() || decoded.lastReason().code == result_code::corrupt_record;
+        RC_ASSERT(isClear);
     });
     rc::prop("mutated bytes", [](std::uint8_t replacement) {
         std::string bytes = encode(sampleBatch());
         bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = static_cast<char>(replacement);
         const auto decoded = decode<wire::claim_batch>(bytes);
-        RC_ASSERT(decoded.hasValue() || decoded.lastReason().code == result_code::corrupt_record);
+        const bool isClear = decoded.hasValue() || decoded.lastReason().code == result_code::corrupt_record;
+        RC_ASSERT(isClear);
     });
     rc::prop("truncated bytes", [] {
         const std::string bytes = encode(sampleBatch());
