--- a/src/entry/configuration_task.cpp
+++ b/src/entry/configuration_task.cpp
@@ -236,21 +236,24 @@
         }
     }
 
-    // A snapshot has to be the next record after the state that it shows, or folds pass over it; one that misses is tried again.
-    const bool isNeeded = m_fold.revision() > 0 && m_fold.lastSnapshotOffset().value_or(0) + 1 < m_fold.nextOffset();
+    // Also without new records: retention removes the last snapshot in time. One that is not the next record after the state that it
+    // shows is passed over by folds, and is tried again.
+    const bool isNeeded = m_fold.revision() > 0;
     const bool isDue = m_loop.now() - m_snapshotAt >= m_snapshotInterval || !m_fold.lastSnapshotOffset();
     if (m_isWritingSnapshot || !isNeeded || !isDue || !isLogReachable() || selectByRendezvous(streamName, candidates) != m_peers.self()) {
         return;
     }
 
     m_isWritingSnapshot = true;
-    m_log.append(streamName, m_fold.makeSnapshot(), [this, alive = std::weak_ptr<bool>(m_alive)](const append_result &result) {
+    const log_offset expected = m_fold.nextOffset();
+    m_log.append(streamName, m_fold.makeSnapshot(), [this, expected, alive = std::weak_ptr<bool>(m_alive)](const append_result &result) {
         if (alive.expired()) {
             return;
         }
         m_isWritingSnapshot = false;
-        if (result.status == append_status::appended) {
+        if (result.status == append_status::appended && result.offset == expected) {
             m_snapshotAt = m_loop.now();
+            m_logger.info("snapshot written", {{"offset", expected}});
         }
     });
 }
--- a/src/entry/fleet_task.cpp
+++ b/src/entry/fleet_task.cpp
@@ -236,7 +236,8 @@
 
 void fleet_task::writeSnapshotIfDue()
 {
-    const bool isDue = m_loop.now() - m_snapshotAt >= m_snapshotInterval && m_fold.nextOffset() > m_afterSnapshot;
+    // Also without new records: retention removes the last snapshot in time.
+    const bool isDue = m_loop.now() - m_snapshotAt >= m_snapshotInterval;
     if (!isDue || m_isWritingSnapshot) {
         return;
     }
@@ -262,7 +263,6 @@
         m_isWritingSnapshot = false;
         if (result.status == append_status::appended && result.offset == expected) {
             m_snapshotAt = m_loop.now();
-            m_afterSnapshot = expected + 1;
             m_logger.info("snapshot written", {{"offset", expected}});
         }
     });
--- a/src/entry/fleet_task.h
+++ b/src/entry/fleet_task.h
@@ -96,7 +96,6 @@
     log_offset m_readFrom = 0;
     duration m_snapshotInterval;
     time_point m_snapshotAt{};
-    log_offset m_afterSnapshot = 0; /**< Offset after the last snapshot that this process wrote. */
     bool m_isWritingSnapshot = false;
     bool m_hasRead = false;
     bool m_isRetiring = false;
