Select the acting entry host in one place

Cause: the read-through found the same candidate loop in configuration_task, fleet_task and planner_task, with two different conditions.

Change: peer_task::isSelected, for live and ready entry hosts that reach the log, serves all three.

The whole suite was not run again.

--- a/src/entry/configuration_task.cpp
+++ b/src/entry/configuration_task.cpp
@@ -1,7 +1,6 @@
 #include "entry/configuration_task.h"
 
 #include "core/digest.h"
-#include "entry/rendezvous.h"
 #include "tables/tables.h"
 
 namespace parsleyglade {
@@ -229,18 +228,11 @@
 
 void configuration_task::writeSnapshotIfDue()
 {
-    std::vector<std::string> candidates{m_peers.self()};
-    for (const peer_state &peer : m_peers.livePeers()) {
-        if (peer.beat.logReachable) {
-            candidates.push_back(peer.identity.entryHost);
-        }
-    }
-
     // Also without new records: retention removes the last snapshot in time. One that is not the next record after the state that it
     // shows is passed over by folds, and is tried again.
     const bool isNeeded = m_fold.revision() > 0;
     const bool isDue = m_loop.now() - m_snapshotAt >= m_snapshotInterval || !m_fold.lastSnapshotOffset();
-    if (m_isWritingSnapshot || !isNeeded || !isDue || !isLogReachable() || selectByRendezvous(streamName, candidates) != m_peers.self()) {
+    if (m_isWritingSnapshot || !isNeeded || !isDue || !isLogReachable() || !m_peers.isSelected(streamName)) {
         return;
     }
 
--- a/src/entry/fleet_task.cpp
+++ b/src/entry/fleet_task.cpp
@@ -1,7 +1,5 @@
 #include "entry/fleet_task.h"
 
-#include "entry/rendezvous.h"
-
 namespace parsleyglade {
 
 namespace {
@@ -242,13 +240,7 @@
         return;
     }
 
-    std::vector<std::string> candidates{m_peers.self()};
-    for (const peer_state &peer : m_peers.livePeers()) {
-        if (peer.beat.logReachable) {
-            candidates.push_back(peer.identity.entryHost);
-        }
-    }
-    if (selectByRendezvous("fleet snapshot", candidates) != m_peers.self()) {
+    if (!m_peers.isSelected("fleet snapshot")) {
         return;
     }
 
--- a/src/entry/peer_task.cpp
+++ b/src/entry/peer_task.cpp
@@ -1,5 +1,7 @@
 #include "entry/peer_task.h"
 
+#include "entry/rendezvous.h"
+
 #include <algorithm>
 
 namespace parsleyglade {
@@ -196,6 +198,17 @@
     return known;
 }
 
+bool peer_task::isSelected(std::string_view subject, const std::string &dataCentre) const
+{
+    std::vector<std::string> candidates{self()};
+    for (const peer_state &peer : livePeers()) {
+        if (peer.beat.ready && peer.beat.logReachable && (dataCentre.empty() || peer.identity.dataCentre == dataCentre)) {
+            candidates.push_back(peer.identity.entryHost);
+        }
+    }
+    return selectByRendezvous(subject, candidates) == self();
+}
+
 std::string peer_task::nameOf(incarnation_id incarnation) const
 {
     const auto found = std::find_if(m_peers.begin(), m_peers.end(), [&](const auto &item) { return item.second.identity.incarnation == incarnation; });
--- a/src/entry/peer_task.h
+++ b/src/entry/peer_task.h
@@ -77,6 +77,10 @@
     /** Whether a peer was heard lately and can be sent requests. */
     bool isLive(const std::string &entryHost) const;
 
+    /** Whether rendezvous hashing selects this host for a subject, among the live and ready entry hosts that reach the log, of one
+        data centre or, when it is empty, of all. A hint: two hosts with different views may both be selected. */
+    bool isSelected(std::string_view subject, const std::string &dataCentre = {}) const;
+
     /** The name of the live entry host with an incarnation; empty when there is none. */
     std::string nameOf(incarnation_id incarnation) const;
 
--- a/src/entry/planner_task.cpp
+++ b/src/entry/planner_task.cpp
@@ -1,7 +1,5 @@
 #include "entry/planner_task.h"
 
-#include "entry/rendezvous.h"
-
 #include <algorithm>
 #include <set>
 
@@ -82,17 +80,6 @@
     return health;
 }
 
-bool planner_task::isSelected(const std::string &subject, const std::string &dataCentre) const
-{
-    std::vector<std::string> candidates{m_peers.self()};
-    for (const peer_state &peer : m_peers.livePeers()) {
-        if (peer.beat.ready && peer.beat.logReachable && (dataCentre.empty() || peer.identity.dataCentre == dataCentre)) {
-            candidates.push_back(peer.identity.entryHost);
-        }
-    }
-    return selectByRendezvous(subject, candidates) == m_peers.self();
-}
-
 void planner_task::plan()
 {
     const auto figures = gatherFigures();
@@ -112,7 +99,7 @@
         const auto policy = m_policies.try_emplace(pool.name, queue_model_policy(queue_model_policy::settings{})).first;
         wishes.push_back(decideWish(policy->second, pool.name, sample, m_loop.now()));
     }
-    if (!isSelected("moves", {})) {
+    if (!m_peers.isSelected("moves")) {
         return;
     }
 
@@ -210,7 +197,7 @@
 void planner_task::planWaves(availability_budget &budget)
 {
     const wave_progress seen = progress();
-    if (m_fleet.fold().state().waves.empty() || !isSelected("waves " + m_dataCentre, m_dataCentre)) {
+    if (m_fleet.fold().state().waves.empty() || !m_peers.isSelected("waves " + m_dataCentre, m_dataCentre)) {
         return;
     }
 
--- a/src/entry/planner_task.h
+++ b/src/entry/planner_task.h
@@ -43,7 +43,6 @@
     };
 
     void plan();
-    bool isSelected(const std::string &subject, const std::string &dataCentre) const;
     void planMoves(availability_budget &budget);
     void planWaves(availability_budget &budget);
     std::map<std::string, pool_figures> gatherFigures();
