Parse request heads only when they are whole, and stop listeners without resetting requests

Cause of the red graceful_stop_test: when an entry host stops, its listener was closed and its idle connections were freed at once. A connection that the system had taken but the process had not accepted, and a request that lay unread in the socket of a kept-open connection, were reset and got no answer. Both are shown by tests that fail without the change (the request gets no byte). Ruled out: the peers' and endpoints' side; the test's own retries.

Entry hosts on slow links get their heads in pieces. The new test splits one request at every position; without the change it fails from position 8 on (a path).

Change: * The parser gets no byte of a head before its empty line is there. The request's time limit starts with its first byte; a head over the limits is refused with 431. The start of a second request behind the first ends the connection after the first answer. * A stopping server first ends connections with their answers, then closes the listener and idle connections when nothing unread is left in them. * Several lengths, HTTP/1.1 without a host and several hosts are answered 400 before anything else is looked at.

--- a/src/entry/caller_task.cpp
+++ b/src/entry/caller_task.cpp
@@ -62,6 +62,11 @@
     m_tables = published;
 }
 
+void caller_task::endConnectionsAfterAnswers()
+{
+    m_server.endConnectionsAfterAnswers();
+}
+
 void caller_task::stopAccepting()
 {
     m_server.stopAccepting();
--- a/src/entry/caller_task.h
+++ b/src/entry/caller_task.h
@@ -27,6 +27,9 @@
     /** Takes over the tables in force. Until the first call requests are refused with not_configured. */
     void setTables(const std::shared_ptr<const tables> &published);
 
+    /** From here on every answer ends its connection. */
+    void endConnectionsAfterAnswers();
+
     /** Accepts no more connections; requests in flight are answered. */
     void stopAccepting();
 
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -1,17 +1,23 @@
 #include "transport/http_connection.h"
 
 #include "transport/lingering_close.h"
+#include "transport/pending_input.h"
+#include "transport/request_head.h"
 
 #include <array>
 #include <charconv>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <strings.h>
 #include <unistd.h>
 
 namespace parsleyglade {
 
 namespace {
 
+// Beside the headers, for which the listener's settings have a limit.
+constexpr std::size_t maximumRequestLineBytes = 8192;
+
 constexpr std::array<std::string_view, 9> methodNames{"GET", "HEAD", "POST", "PUT", "DELETE", "MKCOL", "COPY", "MOVE", "OPTIONS"};
 
 std::string methodName(evhtp_request_t *request)
@@ -56,6 +62,30 @@
     return raw.append("\r\nConnection: close\r\n\r\n").append(response.body);
 }
 
+std::size_t headerCount(evhtp_headers_t *headers, std::string_view wanted)
+{
+    struct counter
+    {
+        std::string_view name;
+        std::size_t found = 0;
+    };
+    counter result{wanted};
+    const auto count = [](evhtp_header_t *header, void *argument) {
+        auto *total = static_cast<counter *>(argument);
+        const bool isWanted = header->klen == total->name.size() && ::strncasecmp(header->key, total->name.data(), header->klen) == 0;
+        total->found += isWanted ? 1 : 0;
+        return 0;
+    };
+    evhtp_headers_for_each(headers, count, &result);
+    return result.found;
+}
+
+bool hasValidHost(evhtp_request_t *request, evhtp_headers_t *headers)
+{
+    const std::size_t hosts = headerCount(headers, "Host");
+    return hosts == 1 || (hosts == 0 && evhtp_request_get_proto(request) == EVHTP_PROTO_10);
+}
+
 template <typename Hook> evhtp_hook untypedHook(Hook hook)
 {
     // libevhtp declares hooks without parameters and calls each by its own type; void (*)() is the cast that compilers accept.
@@ -78,10 +108,24 @@
     evhtp_connection_set_hook(m_connection, evhtp_hook_on_headers, untypedHook(&onHeaders), this);
     evhtp_connection_set_hook(m_connection, evhtp_hook_on_read, untypedHook(&onBody), this);
     evhtp_connection_set_hook(m_connection, evhtp_hook_on_connection_fini, untypedHook(&onClosed), this);
-    beginRequest();
+
+    bufferevent *transport = evhtp_connection_get_bev(m_connection);
+    bufferevent_data_cb writable = nullptr;
+    bufferevent_event_cb ended = nullptr;
+    void *argument = nullptr;
+    bufferevent_getcb(transport, &m_parse, &writable, &ended, &argument);
+    bufferevent_setcb(transport, &onReadable, writable, ended, argument);
+    awaitRequest();
 }
 
-void http_connection::beginRequest()
+http_connection *http_connection::of(evhtp_connection_t *connection)
+{
+    // The connection's hooks all carry the session; the body hook is one of them.
+    const evhtp_hooks_t *hooks = evhtp_connection_get_hooks(connection);
+    return hooks == nullptr ? nullptr : static_cast<http_connection *>(hooks->on_read_arg);
+}
+
+void http_connection::awaitRequest()
 {
     m_headerBytes = 0;
     m_bodyBytes = 0;
@@ -89,13 +133,50 @@
     m_requestLimit.cancel();
 }
 
+void http_connection::beginRequest()
+{
+    if (!m_reading) {
+        m_reading = true;
+        m_requestLimit = m_context.loop.after(m_context.settings.requestTimeLimit, [this] { refuse(result_code::request_timeout); });
+    }
+}
+
+void http_connection::onReadable(bufferevent *transport, void *argument)
+{
+    auto *connection = static_cast<evhtp_connection_t *>(argument);
+    http_connection *self = of(connection);
+    if (self == nullptr || self->mayParse(bufferevent_get_input(transport))) {
+        self->m_parse(transport, argument);
+    }
+}
+
+/** libevhtp's parser reads a head wrong that comes in pieces, so it gets none before the head is whole. */
+bool http_connection::mayParse(evbuffer *input)
+{
+    if (m_refused) {
+        return false;
+    }
+    if (m_isHeadParsed || m_request != nullptr || beginsWithWholeHead(input)) {
+        return true;
+    }
+    if (evbuffer_get_length(input) > m_context.settings.maximumHeaderBytes + maximumRequestLineBytes) {
+        refuse(result_code::header_too_large);
+    } else if (evbuffer_get_length(input) > 0) {
+        beginRequest();
+    }
+    return false;
+}
+
 void http_connection::send(const http_response &response)
 {
     if (m_request == nullptr || m_connection == nullptr || m_refused) {
         return;
     }
 
-    if (m_context.closing) {
+    // The start of a further request that is not whole yet would be parsed at once; its sender has to send it again.
+    evbuffer *input = bufferevent_get_input(evhtp_connection_get_bev(m_connection));
+    const bool hasPartialHead = evbuffer_get_length(input) > 0 && !beginsWithWholeHead(input);
+    if (m_context.closing || hasPartialHead) {
         closeWith(response);
         return;
     }
@@ -111,7 +192,7 @@
     add("Content-Length", std::to_string(response.body.size()));
     evbuffer_add(request->buffer_out, response.body.data(), response.body.size());
 
-    beginRequest();
+    awaitRequest();
     evhtp_send_reply(request, static_cast<evhtp_res>(response.status));
     if (m_connection != nullptr && (m_connection->flags & EVHTP_CONN_FLAG_PAUSED) != 0) {
         evhtp_connection_resume(m_connection);
@@ -122,6 +203,7 @@
 {
     m_requestLimit.cancel();
     m_reading = false;
+    m_isHeadParsed = false;
     if (m_refused) {
         return;
     }
@@ -143,11 +225,20 @@
     }
 
     // Not while libevhtp may be using the connection further up the stack.
-    m_context.loop.post([self = shared_from_this()] {
-        if (self->m_connection != nullptr && !self->isBusy()) {
-            evhtp_connection_free(self->m_connection);
-        }
-    });
+    m_context.loop.post([self = shared_from_this()] { self->closeWithoutInput(); });
+}
+
+/** Closing a connection with bytes in the kernel resets it, and the request in those bytes would get no answer. */
+void http_connection::closeWithoutInput()
+{
+    if (m_connection == nullptr || isBusy() || m_refused) {
+        return;
+    }
+    if (hasPendingInput(m_connection->sock)) {
+        m_inputCheck = m_context.loop.after(pendingInputCheckInterval, [this] { closeWithoutInput(); });
+        return;
+    }
+    evhtp_connection_free(m_connection);
 }
 
 void http_connection::abort()
@@ -190,9 +281,10 @@
 evhtp_res http_connection::onHeadersStart(evhtp_request_t *, void *argument)
 {
     auto *self = static_cast<http_connection *>(argument);
+    self->m_headerBytes = 0;
+    self->m_bodyBytes = 0;
+    self->m_isHeadParsed = true;
     self->beginRequest();
-    self->m_reading = true;
-    self->m_requestLimit = self->m_context.loop.after(self->m_context.settings.requestTimeLimit, [self] { self->refuse(result_code::request_timeout); });
     return EVHTP_RES_OK;
 }
 
@@ -217,6 +309,12 @@
 {
     m_query = request->uri != nullptr ? text(reinterpret_cast<const char *>(request->uri->query_raw)) : std::string();
 
+    // RFC 9112: a message with several lengths, or of HTTP/1.1 without exactly one Host, is not to be interpreted.
+    if (headerCount(headers, "Content-Length") > 1 || !hasValidHost(request, headers)) {
+        refuse(result_code::invalid_request);
+        return;
+    }
+
     const char *lengthText = evhtp_header_find(headers, "Content-Length");
     if (lengthText == nullptr) {
         return;
@@ -270,6 +368,7 @@
     }
 
     m_requestLimit.cancel();
+    m_inputCheck.cancel();
     m_connection = nullptr;
     m_request = nullptr;
     m_reading = false;
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -5,6 +5,7 @@
 #include "transport/http_exchange.h"
 #include "transport/http_server_settings.h"
 
+#include <event2/bufferevent.h>
 #include <evhtp.h>
 #include <functional>
 #include <memory>
@@ -34,6 +35,9 @@
     http_connection &operator=(const http_connection &) = delete;
     ~http_connection() = default;
 
+    /** The session of a connection; null before start(). */
+    static http_connection *of(evhtp_connection_t *connection);
+
     /** Installs the hooks; from here on libevhtp's connection holds a reference. */
     void start();
 
@@ -56,13 +60,17 @@
     void abort();
 
 private:
+    static void onReadable(bufferevent *transport, void *argument);
     static evhtp_res onHeadersStart(evhtp_request_t *request, void *argument);
     static evhtp_res onHeader(evhtp_request_t *request, evhtp_header_t *header, void *argument);
     static evhtp_res onHeaders(evhtp_request_t *request, evhtp_headers_t *headers, void *argument);
     static evhtp_res onBody(evhtp_request_t *request, evbuffer *buffer, void *argument);
     static evhtp_res onClosed(evhtp_connection_t *connection, void *argument);
 
+    bool mayParse(evbuffer *input);
+    void awaitRequest();
     void beginRequest();
+    void closeWithoutInput();
     void checkHeaders(evhtp_request_t *request, evhtp_headers_t *headers);
     void end(evhtp_connection_t *connection);
     void closeWith(const http_response &response);
@@ -74,10 +82,13 @@
     std::string m_query; /**< As it came with the path; libevhtp adds the fields of a form body to its own. */
     std::size_t m_headerBytes = 0;
     std::size_t m_bodyBytes = 0;
-    bool m_reading = false;
+    bool m_reading = false; /**< A request has begun to arrive and is not whole yet. */
+    bool m_isHeadParsed = false; /**< Of the request that is arriving. */
+    bufferevent_data_cb m_parse = nullptr; /**< libevhtp's parser. */
     bool m_refused = false;
     std::string m_lastAnswer; /**< Answer that ends the connection; empty when none does. */
     timer_subscription m_requestLimit;
+    timer_subscription m_inputCheck; /**< Set while an idle connection waits to be closed. */
 };
 
 } // namespace parsleyglade
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,5 +1,7 @@
 #include "transport/http_server.h"
 
+#include "transport/pending_input.h"
+
 #include <arpa/inet.h>
 #include <event2/listener.h>
 #include <netinet/tcp.h>
@@ -17,18 +19,12 @@
     return {static_cast<time_t>(value.count() / microsecondsPerSecond), static_cast<suseconds_t>(value.count() % microsecondsPerSecond)};
 }
 
-http_connection *connectionOf(evhtp_request_t *request)
-{
-    // The connection's hooks all carry the session; the body hook is one of them.
-    const evhtp_hooks_t *hooks = evhtp_connection_get_hooks(evhtp_request_get_connection(request));
-    return hooks == nullptr ? nullptr : static_cast<http_connection *>(hooks->on_read_arg);
-}
-
 } // namespace
 
 http_server::http_server(event_loop &loop, http_server_settings settings, http_connection::request_handler handler,
                          std::function<http_response(result_code)> refusal)
-    : m_settings(std::move(settings))
+    : m_loop(loop)
+    , m_settings(std::move(settings))
     , m_context{loop, m_settings, std::move(handler), std::move(refusal),
                 [this](http_connection *closed) {
                     m_connections.erase(closed);
@@ -67,20 +63,36 @@
     return ntohs(bound.sin_port);
 }
 
-void http_server::stopAccepting()
+void http_server::endConnectionsAfterAnswers()
 {
     m_context.closing = true;
-    if (m_bound) {
-        evhtp_unbind_socket(m_server);
-        m_bound = false;
-    }
+}
 
+void http_server::stopAccepting()
+{
+    endConnectionsAfterAnswers();
+    closeListener();
     const auto connections = m_connections;
     for (http_connection *connection : connections) {
         connection->closeIfIdle();
     }
 }
 
+/** Closing a listener resets the connections that it has not accepted yet, so those are accepted first. */
+void http_server::closeListener()
+{
+    if (!m_bound) {
+        return;
+    }
+    if (hasPendingInput(evconnlistener_get_fd(m_server->server))) {
+        m_listenerCheck = m_loop.after(pendingInputCheckInterval, [this] { closeListener(); });
+        return;
+    }
+
+    evhtp_unbind_socket(m_server);
+    m_bound = false;
+}
+
 std::size_t http_server::connectionCount() const
 {
     return m_connections.size();
@@ -105,7 +117,7 @@
 
 void http_server::onRequest(evhtp_request_t *request, void *)
 {
-    if (http_connection *session = connectionOf(request)) {
+    if (http_connection *session = http_connection::of(evhtp_request_get_connection(request))) {
         session->dispatch(request);
     }
 }
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -22,7 +22,11 @@
     /** Listens. Fails with invalid_value when the address can't be bound. */
     outcome<std::uint16_t> listen();
 
-    /** Accepts nothing more, closes idle connections, and closes the others after their current answer. */
+    /** From here on every answer ends its connection, so that callers move to another server. New connections are still accepted. */
+    void endConnectionsAfterAnswers();
+
+    /** Accepts nothing more and closes idle connections; the others end with their current answer. A connection or request that has
+        reached this host's sockets by now is still served. */
     void stopAccepting();
 
     /** Connections that are open now. */
@@ -32,10 +36,14 @@
     static evhtp_res onAccept(evhtp_connection_t *connection, void *argument);
     static void onRequest(evhtp_request_t *request, void *argument);
 
+    void closeListener();
+
+    event_loop &m_loop;
     http_server_settings m_settings;
     http_connection::context m_context;
     evhtp_t *m_server = nullptr;
     bool m_bound = false;
+    timer_subscription m_listenerCheck;
     std::unordered_set<http_connection *> m_connections;
 };
 
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -34,6 +34,7 @@
     void answer(const std::shared_ptr<http_exchange> &exchange)
     {
         const http_request &request = exchange->request();
+        lastHeaders = request.headers;
         if (request.path == "/later") {
             pending.push_back(exchange);
             return;
@@ -43,6 +44,7 @@
 
     event_loop loop;
     std::vector<std::shared_ptr<http_exchange>> pending;
+    std::vector<http_header> lastHeaders;
     http_server server;
     std::uint16_t port;
 };
@@ -74,6 +76,51 @@
     CHECK(caller.receive("b=2").find("POST /form? a=1&b=2") != std::string::npos);
 }
 
+// Guards against fields that are read wrong where a request arrives in pieces: libevhtp's parser put a byte of an earlier field into a
+// value that was split between two reads, and a job ran under another name.
+TEST_CASE("a request reads the same wherever it is split on its way")
+{
+    const std::string request = "POST /first/path?query=value HTTP/1.1\r\nHost: name.example:8080\r\nRequest-Id: a4f11f0980272a5c\r\n"
+                                "Content-Length: 5\r\nDeadline-Ms: 3000\r\n\r\nhello";
+    echo_server fixture;
+    for (std::size_t split = 1; split < request.size(); ++split) {
+        CAPTURE(split);
+        raw_connection caller(fixture.loop, fixture.port);
+        caller.send(request.substr(0, split));
+        caller.run(1ms);
+        caller.send(request.substr(split));
+        REQUIRE(caller.receive("hello").find("POST /first/path?query=value hello") != std::string::npos);
+        const std::vector<http_header> expected{
+            {"Host", "name.example:8080"}, {"Request-Id", "a4f11f0980272a5c"}, {"Content-Length", "5"}, {"Deadline-Ms", "3000"}};
+        REQUIRE(fixture.lastHeaders == expected);
+    }
+}
+
+// Guards against the same fault where the next request on a connection follows before the first has its answer.
+TEST_CASE("the start of a second request behind the first is not misread")
+{
+    echo_server fixture;
+    raw_connection caller(fixture.loop, fixture.port);
+    caller.send(post("/a", "first") + "POST /b HTTP/1.1\r\nRequest-Id: a4f1");
+    const std::string answer = caller.receive();
+    CHECK(answer.find("first") != std::string::npos);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    CHECK(caller.isClosed());
+
+    raw_connection pipelining(fixture.loop, fixture.port);
+    pipelining.send(post("/a", "first") + post("/b", "second"));
+    CHECK(pipelining.receive("second").find("POST /b?") != std::string::npos);
+}
+
+// Guards against clients that send an empty line before their request, which HTTP lets them.
+TEST_CASE("an empty line before a request is ignored")
+{
+    echo_server fixture;
+    raw_connection caller(fixture.loop, fixture.port);
+    caller.send("\r\n\r\n" + post("/a", "hello"));
+    CHECK(caller.receive("hello").find("HTTP/1.1 200") == 0);
+}
+
 // Guards against bad input that gets no clear error, holds a connection, or costs another caller anything.
 TEST_CASE("bad input is refused with its own status and closes only its own connection")
 {
@@ -92,7 +139,12 @@
         {"many headers", "GET /a HTTP/1.1\r\nA: " + std::string(1500, 'a') + "\r\nB: " + std::string(1500, 'b') + "\r\n\r\n", false, "HTTP/1.1 431"},
         {"malformed length", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 12x\r\n\r\n", false, "HTTP/1.1 400"},
         {"two framings", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\nhello", false, "HTTP/1.1 400"},
+        {"two equal lengths", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\nhello", false, "HTTP/1.1 400"},
+        {"two different lengths", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\ncontent-length: 5\r\n\r\nhello", false, "HTTP/1.1 400"},
+        {"HTTP/1.1 without a host", "POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello", false, "HTTP/1.1 400"},
+        {"two hosts", "POST /a HTTP/1.1\r\nHost: h\r\nHost: i\r\nContent-Length: 5\r\n\r\nhello", false, "HTTP/1.1 400"},
         {"not HTTP", "\x16\x03\x01\x02 hello\r\n\r\n", false, "HTTP/1.1 400"},
+        {"slow head", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Le", false, "HTTP/1.1 408"},
         {"slow sender", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\nabc", false, "HTTP/1.1 408"},
         {"endless header line", "GET /a HTTP/1.1\r\nA: " + longLine, false, "HTTP/1.1 4"},
     }));
@@ -225,3 +277,50 @@
     CHECK(busy.isClosed());
     CHECK(fixture.server.connectionCount() == 0);
 }
+
+// Guards against a planned stop that resets a kept-open connection whose next request has already reached the host.
+TEST_CASE("a request that has reached an idle connection before the server stops is answered")
+{
+    echo_server fixture;
+    raw_connection caller(fixture.loop, fixture.port);
+    caller.send(post("/a", "first"));
+    REQUIRE(caller.receive("first").find("HTTP/1.1 200") == 0);
+
+    caller.sendUnread(post("/a", "second"));
+    fixture.server.stopAccepting();
+    const std::string answer = caller.receive();
+    CHECK(answer.find("second") != std::string::npos);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    CHECK(caller.isClosed());
+}
+
+// Guards against a planned stop that resets a connection which the system has taken but the server has not accepted yet.
+TEST_CASE("a connection that the system has taken before the server stops is served")
+{
+    echo_server fixture;
+    raw_connection caller(fixture.loop, fixture.port);
+    caller.sendUnread(post("/a", "early"));
+    fixture.server.stopAccepting();
+    CHECK(caller.receive().find("early") != std::string::npos);
+
+    raw_connection late(fixture.loop, fixture.port);
+    late.sendUnread(post("/a", "late"));
+    CHECK(late.receive().empty());
+}
+
+// Guards against callers that keep using a host until the moment at which it stops.
+TEST_CASE("answers end their connection once the server has been told that it will stop")
+{
+    echo_server fixture;
+    raw_connection caller(fixture.loop, fixture.port);
+    fixture.server.endConnectionsAfterAnswers();
+    caller.send(post("/a", "only"));
+    const std::string answer = caller.receive();
+    CHECK(answer.find("only") != std::string::npos);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    CHECK(caller.isClosed());
+
+    raw_connection next(fixture.loop, fixture.port);
+    next.send(post("/a", "still accepted"));
+    CHECK(next.receive("still accepted").find("HTTP/1.1 200") == 0);
+}
--- a/tests/transport/raw_connection.h
+++ b/tests/transport/raw_connection.h
@@ -49,6 +49,12 @@
         }
     }
 
+    /** Hands bytes to the kernel without running the loop, so that the server has not read them yet. */
+    void sendUnread(const std::string &bytes)
+    {
+        ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+
     void endWriting()
     {
         ::shutdown(m_socket, SHUT_WR);
