Leave the lead to entry hosts with processor share for it, and check executors and waves less often

The leader took 0.21 core at most: every 4 ms it looked up all runs of all executors for leases, stalls and orders, ranked all jobs once for each pool, and compared each host of a wave with all hosts.

Change: * An executor is checked every 25 ms, and at once after a stop; hosts are decided every 25 ms, each pool surveyed once; demands of all services in one pass; queues are found by an index. * Entry hosts with less than a quarter of a core claim the lead up to 0.4 s later, and a leader of that kind resigns in favour of a follower that has the share and reaches the store. New setting processorShare; new field of the probe between entry hosts. * A notice of left-out log lines comes once a second, not with each line that goes through (at 1,500 lines a second the notices took the place of the lines). * finish() stops runs with the time of the decision.

Tests: the lead goes to the entry host with more share at the first claim and later, and stays where there is none; notices once in each interval.

--- a/idl/parsleyglade.thrift
+++ b/idl/parsleyglade.thrift
@@ -353,6 +353,7 @@
     1: i64 configurationVersion
     2: string peerAddress          // of the asking entry host
     3: optional binary configuration   // the operator's record, where the leader has an older version
+    4: i32 leadingMillicores           // processor share of the asking entry host; 0 while it could not lead
 }
 
 struct leader_status {
--- a/src/control/control_settings.h
+++ b/src/control/control_settings.h
@@ -15,6 +15,12 @@
     std::string peerAddress; /**< IP number and port where the other entry hosts reach this one. */
     incarnation_id incarnation{};
     scheduler_settings scheduling;
+    double processorShare = 1.0; /**< Cores that this entry host may use. */
+    double leadingShare = 0.25; /**< Cores that the lead of a large fleet takes; entry hosts with less leave the lead to others. */
+    duration claimHandicap = std::chrono::milliseconds{400}; /**< Wait before the claim of an entry host without any processor share; less with more. */
+    duration handOverAfter = std::chrono::seconds{2}; /**< A leader with little processor share leads at least this long. */
+    duration handOverPause = std::chrono::seconds{20}; /**< Between two resignations of one entry host in favour of another. */
+    duration storeContactLimit = std::chrono::seconds{3}; /**< Without an answer of the store for this long an entry host could not lead. */
     duration probeInterval = std::chrono::milliseconds{400}; /**< Between two probes of the leader. */
     duration probeLimit = std::chrono::milliseconds{700}; /**< An unanswered probe counts as failed after this time. */
     duration suspicion = std::chrono::milliseconds{900}; /**< Silence of the leader after which its journal is watched. */
@@ -25,6 +31,7 @@
     duration claimPause = std::chrono::milliseconds{1000}; /**< After a claim that found the leader alive. */
     duration registryPause = std::chrono::milliseconds{200}; /**< Between two reads of the registry. */
     duration hostListPause = std::chrono::milliseconds{400}; /**< Between two reads of the list of hosts while it is needed. */
+    duration hostDecisionPause = std::chrono::milliseconds{25}; /**< Between two rounds of decisions about hosts. */
     duration poolPlanPause = std::chrono::milliseconds{100}; /**< Between two plans of the pools. */
     duration hostTakeoverPause
         = std::chrono::milliseconds{3200}; /**< A new leader leaves hosts alone for this long to which its predecessor has just given orders. */
--- a/src/control/host_task.cpp
+++ b/src/control/host_task.cpp
@@ -31,6 +31,10 @@
     if (!m_isListing && m_timers.now() >= m_nextList) {
         list();
     }
+    if (m_timers.now() < m_nextDecision) {
+        return;
+    }
+    m_nextDecision = m_timers.now() + m_settings.hostDecisionPause;
     m_waves.decide(m_timers.now());
     for (const wave_manager::status_update &update : m_waves.takeStatusUpdates()) {
         writeStatus(update);
--- a/src/control/host_task.h
+++ b/src/control/host_task.h
@@ -48,6 +48,7 @@
     bool m_isListing = false;
     bool m_isLost = false;
     time_point m_nextList{};
+    time_point m_nextDecision{};
     time_point m_nextPlan{};
     timer_subscription m_statusRetry;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/src/control/leader_task.cpp
+++ b/src/control/leader_task.cpp
@@ -154,10 +154,8 @@
         perform(action);
     }
     if (hasRight() && !m_isResigning) {
-        for (const std::string &id : m_scheduler->executors()) {
-            if (const auto order = m_scheduler->takeLook(id, m_loop.now())) {
-                performLook(*order);
-            }
+        for (const look_order &order : m_scheduler->takeLooks(m_loop.now())) {
+            performLook(order);
         }
     }
     if (m_scheduler->isDeposed()) {
--- a/src/control/leadership_task.cpp
+++ b/src/control/leadership_task.cpp
@@ -35,7 +35,7 @@
     m_probes = m_loop.every(m_settings.probeInterval, [this] { probe(); });
 
     const auto spread = static_cast<std::uint64_t>(m_settings.claimSpread.count());
-    m_claimTimer = m_loop.after(duration(static_cast<std::int64_t>(m_random() % spread)), [this] {
+    m_claimTimer = m_loop.after(duration(static_cast<std::int64_t>(m_random() % spread)) + claimDelay(), [this] {
         if (!m_hasEverFollowed) {
             beginClaim();
         }
@@ -197,6 +197,7 @@
     if (question.__isset.configuration && question.configurationVersion > m_configuration.version) {
         m_configurationTold(question.configuration);
     }
+    handOverTo(question);
     wire::leader_status status;
     status.leading = m_leader != nullptr;
     status.resigning = m_leader && m_leader->isResigning();
@@ -222,6 +223,7 @@
     wire::leader_probe question;
     question.configurationVersion = m_configuration.version;
     question.peerAddress = m_settings.peerAddress;
+    question.leadingMillicores = leadingMillicores();
     if (m_leaderVersion < m_configuration.version) {
         question.__set_configuration(m_encodedConfiguration);
     }
@@ -325,7 +327,7 @@
 
 void leadership_task::suspect(const std::string &reason)
 {
-    if (m_isRetired || m_leader || m_loader || m_claimWriter || m_loop.now() < m_nextClaim) {
+    if (m_isRetired || m_leader || m_loader || m_claimWriter || m_isClaimDelayed || m_loop.now() < m_nextClaim) {
         return;
     }
     m_log.info("watches the journal", {{"reason", reason}, {"silenceMicroseconds", silence().count()}});
@@ -359,9 +361,52 @@
     case journal_loader::finding::silent:
         break;
     }
-    if (!m_isRetired) {
-        claim(std::move(result.restored), result.hasResigned, result.end);
+    const auto shared = std::make_shared<journal_loader::result>(std::move(result));
+    const auto claimNow = [this, shared] {
+        m_isClaimDelayed = false;
+        if (!m_isRetired && !m_leader && !m_claimWriter) {
+            claim(std::move(shared->restored), shared->hasResigned, shared->end);
+        }
+    };
+    if (!isWeak()) {
+        claimNow();
+        return;
+    }
+    // The claim is conditional on the end that was loaded, so it fails when another entry host has claimed meanwhile.
+    m_isClaimDelayed = true;
+    m_delayedClaim = m_loop.after(claimDelay(), claimNow);
+}
+
+bool leadership_task::isWeak() const
+{
+    return m_settings.processorShare < m_settings.leadingShare;
+}
+
+duration leadership_task::claimDelay() const
+{
+    const double missing = isWeak() ? 1.0 - m_settings.processorShare / m_settings.leadingShare : 0.0;
+    return std::chrono::duration_cast<duration>(missing * m_settings.claimHandicap);
+}
+
+std::int32_t leadership_task::leadingMillicores() const
+{
+    constexpr double millicoresPerCore = 1000;
+    const bool couldLead = !m_isRetired && m_loop.now() - m_announcements.lastContact() < m_settings.storeContactLimit;
+    return couldLead ? static_cast<std::int32_t>(m_settings.processorShare * millicoresPerCore) : 0;
+}
+
+/** Resigns when the asking entry host has the processor share for the lead and this one has not. */
+void leadership_task::handOverTo(const wire::leader_probe &question)
+{
+    constexpr double millicoresPerCore = 1000;
+    const bool isStronger = question.leadingMillicores >= static_cast<std::int32_t>(m_settings.leadingShare * millicoresPerCore);
+    const bool hasLedLong = m_loop.now() - m_leadsSince > m_settings.handOverAfter && m_loop.now() >= m_nextHandOver;
+    if (!m_leader || m_leader->isResigning() || !isWeak() || !isStronger || !hasLedLong) {
+        return;
     }
+    m_nextHandOver = m_loop.now() + m_settings.handOverPause;
+    m_log.info("hands the lead over", {{"to", question.peerAddress}, {"millicores", question.leadingMillicores}});
+    m_leader->resign();
 }
 
 void leadership_task::claim(std::unique_ptr<scheduler> restored, bool hasResigned, std::uint64_t end)
@@ -382,6 +427,7 @@
 void leadership_task::beginLeading(std::unique_ptr<scheduler> restored, bool hasResigned, std::uint64_t offset)
 {
     m_metrics.countTakeover();
+    m_leadsSince = m_loop.now();
     m_log.info("leads", {{"fence", offset}, {"jobs", restored->jobCount()}});
     m_link.reset();
     m_hasEverFollowed = true;
--- a/src/control/leadership_task.h
+++ b/src/control/leadership_task.h
@@ -76,6 +76,10 @@
     void rememberMember(const std::string &address);
     void suspect(const std::string &reason);
     void beginClaim();
+    bool isWeak() const;
+    duration claimDelay() const;
+    std::int32_t leadingMillicores() const;
+    void handOverTo(const wire::leader_probe &question);
     void takeLoaded(journal_loader::result result);
     void claim(std::unique_ptr<scheduler> restored, bool hasResigned, std::uint64_t end);
     void beginLeading(std::unique_ptr<scheduler> restored, bool hasResigned, std::uint64_t offset);
@@ -101,12 +105,16 @@
     std::unique_ptr<journal_writer> m_claimWriter;
     time_point m_lastHealthy{};
     time_point m_nextClaim{};
+    time_point m_leadsSince{};
+    time_point m_nextHandOver{};
     std::int64_t m_leaderVersion = 0;
     bool m_isProbing = false;
+    bool m_isClaimDelayed = false; /**< This entry host leaves the claim to others with more processor share for a moment. */
     bool m_isRetired = false;
     bool m_hasEverFollowed = false;
     timer_subscription m_probes;
     timer_subscription m_claimTimer;
+    timer_subscription m_delayedClaim;
     timer_subscription m_inquiryLimit;
     std::mt19937_64 m_random;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/src/control/node_settings.cpp
+++ b/src/control/node_settings.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t maximumBytes = std::size_t{64} * 1024;
 constexpr std::size_t maximumName = 128;
 constexpr double maximumSeconds = 3'600;
+constexpr double minimumProcessorShare = 0.001;
+constexpr double maximumProcessorShare = 1'024;
 constexpr double millisecondsPerSecond = 1'000;
 
 duration secondsOf(double seconds)
@@ -40,7 +42,7 @@
     json_checker checker(*document, failures);
     checker.checkObject({"entryHost", "dataCentre", "region", "callerAddress", "readinessAddress", "peerAddress", "storeAddress", "sharedKey",
                          "gracePeriodSeconds", "maximumLeaseMilliseconds", "hostOrderLeaseMilliseconds"},
-                        {"hostServiceAddress", "adviceAddress", "metricsAddress", "logLevel"});
+                        {"hostServiceAddress", "adviceAddress", "metricsAddress", "logLevel", "processorShare"});
 
     node_settings settings;
     settings.entryHost = checker.member("entryHost").identifier(maximumName);
@@ -58,6 +60,9 @@
     settings.gracePeriod = secondsOf(checker.member("gracePeriodSeconds").number(0, maximumSeconds));
     settings.maximumLease = secondsOf(checker.member("maximumLeaseMilliseconds").number(1, maximumMilliseconds) / millisecondsPerSecond);
     settings.hostOrderLease = secondsOf(checker.member("hostOrderLeaseMilliseconds").number(0, maximumMilliseconds) / millisecondsPerSecond);
+    if (checker.has("processorShare")) {
+        settings.processorShare = checker.member("processorShare").number(minimumProcessorShare, maximumProcessorShare);
+    }
     if (checker.has("logLevel")) {
         static const std::map<std::string, log_level> levels{
             {"debug", log_level::debug}, {"info", log_level::info}, {"warning", log_level::warning}, {"error", log_level::error}};
--- a/src/runtime/bounded_writer.cpp
+++ b/src/runtime/bounded_writer.cpp
@@ -27,7 +27,8 @@
         ++m_unreported;
         return;
     }
-    if (m_unreported > 0) {
+    if (m_unreported > 0 && now >= m_nextNotice) {
+        m_nextNotice = now + m_settings.noticeInterval;
         m_waiting += "log: lines were left out count=" + std::to_string(m_unreported) + '\n';
         m_unreported = 0;
     }
--- a/src/runtime/bounded_writer.h
+++ b/src/runtime/bounded_writer.h
@@ -13,11 +13,12 @@
     double linesPerSecond = 1'500;
     double burstLines = 3'000;
     std::size_t maximumWaitingBytes = std::size_t{256} * 1024; /**< Lines that the reader has not taken yet. */
+    duration noticeInterval = std::chrono::seconds{1}; /**< Least time between two lines that tell how many were left out. */
 };
 
 /**
  * Writes lines to a file descriptor without ever blocking. Lines over the rate, and lines for which a slow reader leaves no room, are
- * left out and counted; the next line that goes through is preceded by one that tells the count.
+ * left out and counted; a line that goes through later is preceded by one that tells the count, at most once in each notice interval.
  */
 class bounded_writer
 {
@@ -44,6 +45,7 @@
     std::string m_waiting;
     std::uint64_t m_leftOut = 0;
     std::uint64_t m_unreported = 0;
+    time_point m_nextNotice{};
 };
 
 } // namespace parsleyglade
--- a/src/scheduler/executor_state.h
+++ b/src/scheduler/executor_state.h
@@ -51,6 +51,7 @@
     bool isLooking = false; /**< A look waits for its answer. */
     time_point lookAnsweredAt{};
     time_point nextLook{};
+    time_point nextCheck{}; /**< Of its leases, stalled runs and orders to repeat. */
     int failedLooks = 0; /**< In a row. */
     time_point avoidUntil{}; /**< No start before. */
     int failuresInRow = 0; /**< Failed runs of different jobs since the last good end. */
--- a/src/scheduler/pool_planner.cpp
+++ b/src/scheduler/pool_planner.cpp
@@ -120,18 +120,19 @@
             pool.idle.push_back(&host);
         }
     }
+    const auto demands = m_scheduler.demands(now);
     for (auto &[name, pool] : pools) {
-        pool.wanted = pool.isStandby ? 0 : wantedHosts(name, pool.hostMillicores, now);
+        const auto demand = demands.find(name);
+        pool.wanted = pool.isStandby ? 0 : wantedHosts(demand == demands.end() ? service_demand{} : demand->second, pool.hostMillicores);
     }
     return pools;
 }
 
-int pool_planner::wantedHosts(const std::string &pool, std::int64_t hostMillicores, time_point now)
+int pool_planner::wantedHosts(const service_demand &demand, std::int64_t hostMillicores) const
 {
     if (hostMillicores == 0) {
         return 0;
     }
-    const service_demand demand = m_scheduler.demandOf(pool, now);
     const double needed = m_settings.headroom * static_cast<double>(demand.inflowMillicores) + static_cast<double>(demand.lastingMillicores)
         + static_cast<double>(demand.waitingMillicores) / toSeconds(m_settings.backlogTime);
     const auto wanted = static_cast<int>(std::ceil(needed / static_cast<double>(hostMillicores)));
--- a/src/scheduler/pool_planner.h
+++ b/src/scheduler/pool_planner.h
@@ -63,7 +63,7 @@
 
     std::map<std::string, pool_state> survey(const std::map<std::string, host_description> &hosts, const std::function<bool(const std::string &)> &isReserved,
                                              time_point now);
-    int wantedHosts(const std::string &pool, std::int64_t hostMillicores, time_point now);
+    int wantedHosts(const service_demand &demand, std::int64_t hostMillicores) const;
     std::vector<host_order> orderRecordedMoves();
     void forgetFinishedMoves(const std::map<std::string, host_description> &hosts, time_point now);
     const host_description *takeSource(std::map<std::string, pool_state> &pools, const std::string &target);
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -106,7 +106,7 @@
 {
     m_wallNow = wallNow;
     m_fence = fence;
-    m_ledSince = now;
+    m_now = now;
     m_orphanProgress.clear();
 
     // An earlier leader may have extended leases until its own right ended.
@@ -148,7 +148,11 @@
 
 void scheduler::setConfiguration(queue_configuration configuration)
 {
+    m_queues.clear();
     m_configuration = std::move(configuration);
+    for (const queue_policy &queue : m_configuration.queues) {
+        m_queues.try_emplace(queue.name, &queue);
+    }
 }
 
 const queue_configuration &scheduler::configuration() const
@@ -162,7 +166,7 @@
         answerWhenRecorded(token, *known);
         return;
     }
-    const queue_policy *queue = m_configuration.findQueue(work.queue);
+    const queue_policy *queue = findQueue(work.queue);
     if (queue == nullptr) {
         answer(token, wire::work_verdict::no_such_queue, "the configuration has no such queue");
         return;
@@ -219,7 +223,7 @@
 void scheduler::countPending(call_token token, const std::string &queue)
 {
     wire::work_reply reply;
-    reply.verdict = m_configuration.findQueue(queue) == nullptr ? wire::work_verdict::no_such_queue : wire::work_verdict::done;
+    reply.verdict = findQueue(queue) == nullptr ? wire::work_verdict::no_such_queue : wire::work_verdict::done;
     reply.pending = std::count_if(m_active.begin(), m_active.end(),
                                   [&](const scheduled_job *job) { return job->state == work_state::queued && job->work.queue == queue; });
     m_actions.emplace_back(call_answer{token, reply});
@@ -301,9 +305,15 @@
     return found == m_jobs.end() ? nullptr : found->second.get();
 }
 
+const queue_policy *scheduler::findQueue(const std::string &queue) const
+{
+    const auto found = m_queues.find(queue);
+    return found == m_queues.end() ? nullptr : found->second;
+}
+
 const queue_policy *scheduler::queueOf(const scheduled_job &job) const
 {
-    return m_configuration.findQueue(job.work.queue);
+    return findQueue(job.work.queue);
 }
 
 void scheduler::answer(call_token token, wire::work_verdict::type verdict, std::string reason)
@@ -361,7 +371,7 @@
     job.finishedAt = now;
     std::erase(m_active, &job);
     markChanged(job);
-    stopAll(job, m_ledSince);
+    stopAll(job, m_now);
 }
 
 void scheduler::forgetOldJobs(wall_time wallNow)
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -76,8 +77,8 @@
     /** The next look at an executor, when one is due; the executor then counts as being looked at until lookAnswered(). */
     std::optional<look_order> takeLook(const std::string &executor, time_point now);
 
-    /** Executors in the book, listed or still with runs. */
-    std::vector<std::string> executors() const;
+    /** All looks that are due; see takeLook(). */
+    std::vector<look_order> takeLooks(time_point now);
 
     /** What is to be recorded next, up to about maximumBatchBytes; nothing while a batch is under way or when nothing has changed. */
     std::optional<journal_batch> takeBatch();
@@ -96,8 +97,8 @@
     /** Whether nothing runs on the executor, for certain. */
     bool isEmpty(const std::string &executor) const;
 
-    /** What a service's jobs ask of its pool. */
-    service_demand demandOf(const std::string &service, time_point now);
+    /** What each service's jobs ask of its pool. Services without any have no entry. */
+    std::map<std::string, service_demand> demands(time_point now);
 
     /** Records an order for a host; returns the number of the batch that has it. */
     std::uint64_t recordHost(wire::host_record record);
@@ -155,6 +156,7 @@
     scheduled_job *findMutableJob(const std::string &id);
     scheduled_task *findTask(const task_id &which);
     scheduled_run *findRun(const run_key &key);
+    const queue_policy *findQueue(const std::string &queue) const;
     const queue_policy *queueOf(const scheduled_job &job) const;
     void answer(call_token token, wire::work_verdict::type verdict, std::string reason = {});
     void answerState(call_token token, const scheduled_job &job);
@@ -188,6 +190,8 @@
     void learnClock(executor_state &executor, std::int64_t clockMilliseconds, time_point now) const;
     std::int64_t grantLease(executor_state &executor, time_point now) const;
     order_target targetOf(const executor_state &executor) const;
+    std::optional<look_order> makeLook(executor_state &executor, time_point now);
+    void checkExecutor(executor_state &executor, time_point now);
     void dropIdleExecutors();
     void forgetOldJobs(wall_time wallNow);
 
@@ -200,6 +204,7 @@
     // placement
     void place(time_point now, wall_time wallNow);
     std::vector<ranked_job> rankJobs(wall_time wallNow) const;
+    void addDemand(service_demand &demand, const scheduled_job &job) const;
     void placeJob(const ranked_job &ranked, time_point now, wall_time wallNow);
     void placeStep(scheduled_job &job, service_room &room, int occurrence, int step, time_point now);
     void placeGang(scheduled_job &job, service_room &room, int occurrence, int step, time_point now);
@@ -214,6 +219,7 @@
 
     scheduler_settings m_settings;
     queue_configuration m_configuration;
+    std::unordered_map<std::string_view, const queue_policy *> m_queues; /**< Of the configuration, by name. */
     std::unordered_map<std::string, std::unique_ptr<scheduled_job>> m_jobs;
     std::map<std::string, wire::progress_record> m_orphanProgress; /**< Read before the job itself, during recovery. */
     std::vector<scheduled_job *> m_active; /**< Jobs that are not final. */
@@ -236,7 +242,6 @@
     bool m_recordingBatch = false;
     bool m_isDeposed = false;
     std::int64_t m_fence = 0;
-    time_point m_ledSince{};
     wall_time m_wallNow{};
 };
 
--- a/src/scheduler/scheduler_evacuation.cpp
+++ b/src/scheduler/scheduler_evacuation.cpp
@@ -15,6 +15,7 @@
     const auto found = m_executors.find(executor);
     if (found != m_executors.end()) {
         found->second.isEvacuating = isEvacuating;
+        found->second.nextCheck = m_now;
     }
 }
 
--- a/src/scheduler/scheduler_executors.cpp
+++ b/src/scheduler/scheduler_executors.cpp
@@ -54,16 +54,6 @@
     }
 }
 
-std::vector<std::string> scheduler::executors() const
-{
-    std::vector<std::string> ids;
-    ids.reserve(m_executors.size());
-    for (const auto &[id, executor] : m_executors) {
-        ids.push_back(id);
-    }
-    return ids;
-}
-
 order_target scheduler::targetOf(const executor_state &executor) const
 {
     return {executor.description.id, executor.description.address, m_fence};
--- a/src/scheduler/scheduler_looks.cpp
+++ b/src/scheduler/scheduler_looks.cpp
@@ -11,13 +11,25 @@
 
 } // namespace
 
+std::vector<look_order> scheduler::takeLooks(time_point now)
+{
+    std::vector<look_order> orders;
+    for (auto &[id, executor] : m_executors) {
+        if (auto order = makeLook(executor, now)) {
+            orders.push_back(std::move(*order));
+        }
+    }
+    return orders;
+}
+
 std::optional<look_order> scheduler::takeLook(const std::string &id, time_point now)
 {
     const auto found = m_executors.find(id);
-    if (found == m_executors.end()) {
-        return std::nullopt;
-    }
-    executor_state &executor = found->second;
+    return found == m_executors.end() ? std::nullopt : makeLook(found->second, now);
+}
+
+std::optional<look_order> scheduler::makeLook(executor_state &executor, time_point now)
+{
     const bool hasUnacknowledged = executor.endRecorded > executor.endAcknowledged;
     const bool isNeeded = !executor.isSynchronised || !executor.runs.empty() || hasUnacknowledged;
     if (executor.isLooking || now < executor.nextLook || !isNeeded || executor.description.address.empty()) {
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -52,6 +52,7 @@
     run.phase = run_phase::stopping;
     run.since = now;
     run.orderOutstanding = false;
+    m_executors[run.executor].nextCheck = now; // sends the order
 }
 
 void scheduler::sendStop(const run_key &key, scheduled_run &run, time_point now)
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -43,40 +43,44 @@
     }
 }
 
-service_demand scheduler::demandOf(const std::string &service, time_point now)
+std::map<std::string, service_demand> scheduler::demands(time_point now)
 {
     constexpr double millisecondsPerSecond = 1000;
-    service_demand demand;
-    if (const auto arrivals = m_arrivals.find(service); arrivals != m_arrivals.end()) {
-        const double rate = arrivals->second.rate(now);
-        const double rise = std::max(arrivals->second.slope(now), 0.0) * toSeconds(m_settings.demandHorizon);
-        demand.inflowMillicores = static_cast<std::int64_t>((rate + std::min(rise, rate)) / millisecondsPerSecond);
+    std::map<std::string, service_demand> result;
+    for (auto &[service, arrivals] : m_arrivals) {
+        const double rate = arrivals.rate(now);
+        const double rise = std::max(arrivals.slope(now), 0.0) * toSeconds(m_settings.demandHorizon);
+        result[service].inflowMillicores = static_cast<std::int64_t>((rate + std::min(rise, rate)) / millisecondsPerSecond);
     }
-
     for (const ranked_job &ranked : rankJobs(m_wallNow)) {
-        if (ranked.queue->service != service || ranked.lateness > 1) {
-            continue;
+        if (ranked.lateness <= 1) {
+            addDemand(result[ranked.queue->service], *ranked.job);
         }
-        for (std::size_t step = 0; step < ranked.job->work.steps.size(); ++step) {
-            const wire::step_record &description = ranked.job->work.steps[step];
-            const std::int64_t each = reservedBy(description).cpuMillicores;
-            if (description.longRunning) {
-                demand.lastingMillicores += each * description.taskCount;
-                if (description.maximumPerExecutor > 0) {
-                    const int apart = (description.taskCount + description.maximumPerExecutor - 1) / description.maximumPerExecutor;
-                    demand.leastExecutors = std::max(demand.leastExecutors, apart);
-                }
-                continue;
+    }
+    return result;
+}
+
+/** Adds what the job's lasting steps need, and what its other steps wait for. */
+void scheduler::addDemand(service_demand &demand, const scheduled_job &job) const
+{
+    for (std::size_t step = 0; step < job.work.steps.size(); ++step) {
+        const wire::step_record &description = job.work.steps[step];
+        const std::int64_t each = reservedBy(description).cpuMillicores;
+        if (description.longRunning) {
+            demand.lastingMillicores += each * description.taskCount;
+            if (description.maximumPerExecutor > 0) {
+                const int apart = (description.taskCount + description.maximumPerExecutor - 1) / description.maximumPerExecutor;
+                demand.leastExecutors = std::max(demand.leastExecutors, apart);
             }
-            for (std::size_t occurrence = 0; occurrence < ranked.job->occurrences.size(); ++occurrence) {
-                if (isStepReady(*ranked.job, static_cast<int>(occurrence), static_cast<int>(step), m_wallNow)) {
-                    const auto &tasks = ranked.job->occurrences[occurrence].steps[step].tasks;
-                    demand.waitingMillicores += each * std::count_if(tasks.begin(), tasks.end(), [](const scheduled_task &task) { return task.isWaiting(); });
-                }
+            continue;
+        }
+        for (std::size_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
+            if (isStepReady(job, static_cast<int>(occurrence), static_cast<int>(step), m_wallNow)) {
+                const auto &tasks = job.occurrences[occurrence].steps[step].tasks;
+                demand.waitingMillicores += each * std::count_if(tasks.begin(), tasks.end(), [](const scheduled_task &task) { return task.isWaiting(); });
             }
         }
     }
-    return demand;
 }
 
 std::vector<scheduler::ranked_job> scheduler::rankJobs(wall_time wallNow) const
--- a/src/scheduler/scheduler_runs.cpp
+++ b/src/scheduler/scheduler_runs.cpp
@@ -57,17 +57,25 @@
     m_now = now;
     m_wallNow = wallNow;
     for (auto &[id, executor] : m_executors) {
-        if (!executor.runs.empty() && executor.leaseLapse != time_point{} && now > executor.leaseLapse) {
-            loseRuns(executor, run_loss::lapsed, now);
-        }
-        stopStalled(executor, now);
-        repeatOrders(executor, now);
-        if (executor.isEvacuating) {
-            evacuate(executor, now);
+        if (now >= executor.nextCheck) {
+            executor.nextCheck = now + m_settings.checkInterval;
+            checkExecutor(executor, now);
         }
     }
     dropIdleExecutors();
     place(now, wallNow);
 }
 
+void scheduler::checkExecutor(executor_state &executor, time_point now)
+{
+    if (!executor.runs.empty() && executor.leaseLapse != time_point{} && now > executor.leaseLapse) {
+        loseRuns(executor, run_loss::lapsed, now);
+    }
+    stopStalled(executor, now);
+    repeatOrders(executor, now);
+    if (executor.isEvacuating) {
+        evacuate(executor, now);
+    }
+}
+
 } // namespace parsleyglade
--- a/src/scheduler/scheduler_settings.h
+++ b/src/scheduler/scheduler_settings.h
@@ -10,6 +10,7 @@
     duration lease = std::chrono::milliseconds{3000}; /**< Of what runs on an executor; covers a change of leader. */
     duration lookWait = std::chrono::milliseconds{800}; /**< How long an executor may hold a look; under a third of the lease. */
     duration lookRetry = std::chrono::milliseconds{300}; /**< Pause after a look that failed. */
+    duration checkInterval = std::chrono::milliseconds{25}; /**< Between two checks of an executor's leases, stalled runs and orders. */
     duration orderRetry = std::chrono::milliseconds{300}; /**< Pause before an unanswered order is repeated. */
     duration lateOrderLimit = std::chrono::milliseconds{12'500}; /**< An unanswered order may be carried out this late, by a later boot too. */
     duration stopSettle = std::chrono::milliseconds{600}; /**< Longer than an executor takes to end a run that is stopped. */
--- a/src/scheduler/wave_manager.cpp
+++ b/src/scheduler/wave_manager.cpp
@@ -176,16 +176,13 @@
 
     const auto rounds = static_cast<std::int64_t>(candidates.size()) / std::max(wave.request.cap, 1) + 1;
     const bool isUrgent = now + rounds * m_settings.hostTime > wave.deadline;
+    auto pools = candidates.empty() ? std::map<std::string, pool_state>() : surveyPools();
     for (const auto &[runs, host] : candidates) {
-        int allowed = wave.request.cap;
-        if (!isStandby(host->pool)) {
-            const double share = m_settings.evacuatedShare * hostsOf(host->pool);
-            const bool isBusy = loadOf(host->pool) > m_settings.busyLoad && !isUrgent;
-            allowed = isBusy ? 1 : std::max(1, static_cast<int>(share));
-        }
-        if (countWorked(host->pool) >= allowed) {
+        pool_state &pool = pools[host->pool];
+        if (pool.worked >= mostAway(pool, wave.request, isUrgent)) {
             continue;
         }
+        ++pool.worked;
         host_work &work = m_work[host->name];
         work.wave = wave.request.wave;
         work.executor = host->executor;
@@ -198,12 +195,16 @@
 
 void wave_manager::orderHosts(time_point now)
 {
+    std::map<std::int64_t, int> down;
     for (auto &[name, work] : m_work) {
         if (work.isOrdered || now < work.notBefore || now < m_mayOrderFrom || !m_scheduler.isEmpty(work.executor)) {
             continue;
         }
         const wave_state &wave = m_waves[work.wave];
-        if (countDown(work.wave) >= wave.request.cap) {
+        if (!down.contains(work.wave)) {
+            down[work.wave] = countDown(work.wave);
+        }
+        if (down[work.wave] >= wave.request.cap) {
             continue;
         }
         if (work.recordedWith == 0) {
@@ -219,7 +220,7 @@
         work.isOrdered = true;
         work.isOutstanding = true;
         work.orderedAt = now;
-        m_scheduler.noteHost("maintain", name, "wave=" + std::to_string(work.wave) + " down=" + std::to_string(countDown(work.wave)));
+        m_scheduler.noteHost("maintain", name, "wave=" + std::to_string(work.wave) + " down=" + std::to_string(++down[work.wave]));
         m_orders.push_back({name, work.wave, {}, m_fence});
     }
 }
@@ -241,37 +242,33 @@
     return static_cast<int>(ordered + inherited);
 }
 
-int wave_manager::countWorked(const std::string &pool) const
-{
-    return static_cast<int>(std::count_if(m_work.begin(), m_work.end(), [&](const auto &entry) {
-        const host_description *host = findHost(entry.first);
-        return host != nullptr && host->pool == pool;
-    }));
-}
-
-double wave_manager::loadOf(const std::string &pool) const
+std::map<std::string, wave_manager::pool_state> wave_manager::surveyPools() const
 {
-    std::int64_t used = 0;
-    std::int64_t capacity = 0;
+    std::map<std::string, pool_state> pools;
+    for (const service_policy &service : m_scheduler.configuration().services) {
+        pools[service.name].isStandby = service.standby;
+    }
     for (const auto &[name, host] : m_hosts) {
-        const executor_state *executor = host.pool == pool ? m_scheduler.findExecutor(host.executor) : nullptr;
-        if (executor != nullptr) {
-            used += executor->used.cpuMillicores;
-            capacity += executor->description.capacity.cpuMillicores;
+        pool_state &pool = pools[host.pool];
+        ++pool.hosts;
+        pool.worked += m_work.contains(name) ? 1 : 0;
+        if (const executor_state *executor = m_scheduler.findExecutor(host.executor)) {
+            pool.usedMillicores += executor->used.cpuMillicores;
+            pool.millicores += executor->description.capacity.cpuMillicores;
         }
     }
-    return capacity == 0 ? 0.0 : static_cast<double>(used) / static_cast<double>(capacity);
+    return pools;
 }
 
-int wave_manager::hostsOf(const std::string &pool) const
+/** Hosts of a pool that may be evacuated or maintained at a time. */
+int wave_manager::mostAway(const pool_state &pool, const wave_request &request, bool isUrgent) const
 {
-    return static_cast<int>(std::count_if(m_hosts.begin(), m_hosts.end(), [&](const auto &entry) { return entry.second.pool == pool; }));
-}
-
-bool wave_manager::isStandby(const std::string &pool) const
-{
-    const auto &services = m_scheduler.configuration().services;
-    return std::any_of(services.begin(), services.end(), [&](const service_policy &service) { return service.name == pool && service.standby; });
+    if (pool.isStandby) {
+        return request.cap;
+    }
+    const double load = pool.millicores == 0 ? 0.0 : static_cast<double>(pool.usedMillicores) / static_cast<double>(pool.millicores);
+    const bool isBusy = load > m_settings.busyLoad && !isUrgent;
+    return isBusy ? 1 : std::max(1, static_cast<int>(m_settings.evacuatedShare * pool.hosts));
 }
 
 void wave_manager::release(const std::string &host)
--- a/src/scheduler/wave_manager.h
+++ b/src/scheduler/wave_manager.h
@@ -81,15 +81,22 @@
         time_point notBefore{};
     };
 
+    struct pool_state
+    {
+        bool isStandby = false;
+        int hosts = 0;
+        int worked = 0; /**< Hosts that are evacuated or maintained. */
+        std::int64_t usedMillicores = 0;
+        std::int64_t millicores = 0; /**< Of the executors that are known. */
+    };
+
     const host_description *findHost(const std::string &host) const;
     void finishHosts(time_point now);
     void chooseHosts(wave_state &wave, time_point now);
     void orderHosts(time_point now);
     int countDown(std::int64_t wave) const;
-    int countWorked(const std::string &pool) const;
-    double loadOf(const std::string &pool) const;
-    int hostsOf(const std::string &pool) const;
-    bool isStandby(const std::string &pool) const;
+    std::map<std::string, pool_state> surveyPools() const;
+    int mostAway(const pool_state &pool, const wave_request &request, bool isUrgent) const;
     void release(const std::string &host);
     void complete(wave_state &wave);
 
--- a/tests/control/leadership_test.cpp
+++ b/tests/control/leadership_test.cpp
@@ -37,10 +37,12 @@
     loop.run();
 }
 
-std::unique_ptr<control_daemon> makeNode(event_loop &loop, control_platform &platform, int number, duration journalSilence = control_settings{}.journalSilence)
+std::unique_ptr<control_daemon> makeNode(event_loop &loop, control_platform &platform, int number, duration journalSilence = control_settings{}.journalSilence,
+                                         double processorShare = 1.0)
 {
     control_settings settings = controlSettings(number, freePort());
     settings.journalSilence = journalSilence;
+    settings.processorShare = processorShare;
     auto node = std::make_unique<control_daemon>(loop, platform.clients(), settings, peerSettings(settings));
     REQUIRE(node->start());
     return node;
@@ -107,6 +109,44 @@
     CHECK(second->leadership().leader() != nullptr);
 }
 
+// Guards against a fleet that is led by an entry host whose share of a core is too small for it, while others have enough.
+TEST_CASE("an entry host with little processor share leaves the lead to one with more", "[control]")
+{
+    constexpr double little = 0.1;
+    event_loop loop;
+    control_platform platform(loop);
+    platform.store.put(store_topic::operators, {{"configuration", "1"}});
+    const auto weak = makeNode(loop, platform, 0, control_settings{}.journalSilence, little);
+    const auto isLed = [&] {
+        return weak->isReady() && weak->leadership().leader() != nullptr;
+    };
+
+    SECTION("at the first claim")
+    {
+        const auto strong = makeNode(loop, platform, 1);
+        runUntil(loop, 5s, [&] { return strong->leadership().leader() != nullptr || weak->leadership().leader() != nullptr; });
+        CHECK(strong->leadership().leader() != nullptr);
+        CHECK(weak->leadership().leader() == nullptr);
+    }
+    SECTION("when one with more comes later")
+    {
+        runUntil(loop, 5s, isLed);
+        REQUIRE(isLed());
+        const auto strong = makeNode(loop, platform, 1);
+        runUntil(loop, 8s, [&] { return strong->leadership().leader() != nullptr; });
+        CHECK(strong->leadership().leader() != nullptr);
+        CHECK(weak->leadership().leader() == nullptr);
+    }
+    SECTION("but leads where there is no other, and keeps the lead beside one as weak")
+    {
+        runUntil(loop, 5s, isLed);
+        REQUIRE(isLed());
+        const auto other = makeNode(loop, platform, 1, control_settings{}.journalSilence, little);
+        runUntil(loop, 4s, [] { return false; });
+        CHECK(weak->leadership().leader() != nullptr);
+    }
+}
+
 TEST_CASE("a submission that waits for the leader's reply at the deadline is unknown, not refused", "[control]")
 {
     event_loop loop;
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -190,6 +190,7 @@
                                                                   {"\\{\\{Ip\\}\\}", "10.0.0.1"},
                                                                   {"\\{\\{(CloudApi\\.Address|Advice)\\}\\}", "10.0.0.2:81"},
                                                                   {"\\{\\{Bounds\\.GraceS\\}\\}", "6.5"},
+                                                                  {"\\{\\{Limits\\.CpuShare\\}\\}", "0.12"},
                                                                   {"\\{\\{[\\w.]+\\}\\}", "7000"}};
     for (const auto &[placeholder, value] : values) {
         text = std::regex_replace(text, std::regex(placeholder), value);
@@ -201,6 +202,7 @@
     CHECK(settings->hostServiceAddress == "10.0.0.2:81");
     CHECK(settings->gracePeriod == 6500ms);
     CHECK(settings->maximumLease == 7s);
+    CHECK(settings->processorShare == 0.12);
 }
 
 TEST_CASE("faulty settings are refused with the place of the fault", "[wire]")
--- a/tests/runtime/bounded_writer_test.cpp
+++ b/tests/runtime/bounded_writer_test.cpp
@@ -42,6 +42,24 @@
 
 } // namespace
 
+// Guards against notices of left-out lines that take the place of the lines under a steady overload.
+TEST_CASE("lines that are left out are told at most once in each interval")
+{
+    const pipe_fixture pipe;
+    constexpr double linesPerSecond = 10;
+    bounded_writer writer(pipe.ends[1], {linesPerSecond, 1, 16 * 1024, 1s});
+    for (int millisecond = 0; millisecond < 3'000; ++millisecond) {
+        writer.write("line", time_point{1s} + std::chrono::milliseconds{millisecond});
+    }
+    const std::string text = pipe.readAll();
+    std::size_t notices = 0;
+    for (auto found = text.find("left out"); found != std::string::npos; found = text.find("left out", found + 1)) {
+        ++notices;
+    }
+    CHECK(notices >= 2);
+    CHECK(notices <= 3);
+}
+
 // Guards against a process that stops serving because nobody reads its log.
 TEST_CASE("a reader that stops does not block the writer, and learns later how much it has missed")
 {
--- a/tests/scheduler/scheduling_world.cpp
+++ b/tests/scheduler/scheduling_world.cpp
@@ -256,13 +256,10 @@
     for (scheduler_action &action : leader->state->takeActions()) {
         perform(leader, action);
     }
-    for (const std::string &id : leader->state->executors()) {
-        if (auto order = leader->state->takeLook(id, m_now)) {
-            const time_point sent = m_now;
-            deliver<look_order, look_answer>(
-                *order, m_faults.lateLook, [](executor_model &executor, const look_order &look, time_point now) { return executor.look(look, now); },
-                [this, leader, id, sent](const look_answer &answer) { leader->state->lookAnswered(id, answer, sent, m_now); });
-        }
+    for (const look_order &order : leader->state->takeLooks(m_now)) {
+        deliver<look_order, look_answer>(
+            order, m_faults.lateLook, [](executor_model &executor, const look_order &look, time_point now) { return executor.look(look, now); },
+            [this, leader, id = order.target.executor, sent = m_now](const look_answer &answer) { leader->state->lookAnswered(id, answer, sent, m_now); });
     }
 }
 
