Compare the list of hosts by when it was asked for, so that a wave keeps its limit

A list of hosts that was asked for before the order and arrived after it shows such a host up with its new executor; that was taken for the end of its maintenance, and another host was ordered.

Change: a list counts by the time at which it was asked for, and ends a maintenance only when that is later than the order's answer.

Test: fails with the earlier comparison (the second host is ordered at once), passes now.

--- a/src/control/host_task.cpp
+++ b/src/control/host_task.cpp
@@ -64,13 +64,13 @@
 {
     m_isListing = true;
     m_nextList = m_timers.now() + m_settings.hostListPause;
-    m_hosts.list([this, alive = std::weak_ptr<bool>(m_alive)](const outcome<std::vector<host_description>> &hosts) {
+    m_hosts.list([this, requestedAt = m_timers.now(), alive = std::weak_ptr<bool>(m_alive)](const outcome<std::vector<host_description>> &hosts) {
         if (!alive.lock()) {
             return;
         }
         m_isListing = false;
         if (hosts) {
-            m_waves.setHosts(*hosts, m_timers.now());
+            m_waves.setHosts(*hosts, requestedAt);
         }
         if (m_isLost == hosts.hasValue()) {
             m_isLost = !hosts.hasValue();
--- a/src/scheduler/wave_manager.cpp
+++ b/src/scheduler/wave_manager.cpp
@@ -33,14 +33,14 @@
     std::erase_if(wave.begun, [&](const std::string &host) { return !request.hosts.contains(host); });
 }
 
-void wave_manager::setHosts(std::vector<host_description> hosts, time_point now)
+void wave_manager::setHosts(std::vector<host_description> hosts, time_point requestedAt)
 {
     m_hosts.clear();
     for (host_description &host : hosts) {
         std::string name = host.name;
         m_hosts[std::move(name)] = std::move(host);
     }
-    m_hostsAt = now;
+    m_hostsAt = requestedAt;
 }
 
 bool wave_manager::needsHost(const std::string &host) const
@@ -61,6 +61,7 @@
     }
     host_work &work = found->second;
     work.isOutstanding = false;
+    work.answeredAt = now;
     m_scheduler.noteHost("host-order-answered", order.host, "wave=" + std::to_string(order.wave) + " result=" + std::string(name(result)));
 
     wave_state &wave = m_waves[order.wave];
@@ -141,7 +142,8 @@
             }
             continue;
         }
-        const bool isListedLater = m_hostsAt > work.orderedAt;
+        // A list that was asked for earlier can show the host as it was before the order, for example just back from a move.
+        const bool isListedLater = m_hostsAt > work.answeredAt;
         const bool isBack = host == nullptr || (host->state == host_state::up && host->executor != work.executor);
         const bool hasBegun = m_waves[work.wave].begun.contains(name);
         if (isListedLater && isBack) {
--- a/src/scheduler/wave_manager.h
+++ b/src/scheduler/wave_manager.h
@@ -46,7 +46,9 @@
     void lead(std::int64_t fence, time_point now);
 
     void setWave(const wave_request &request, time_point now);
-    void setHosts(std::vector<host_description> hosts, time_point now);
+
+    /** The list of hosts. @param requestedAt when it was asked for; what happened later may be missing in it. */
+    void setHosts(std::vector<host_description> hosts, time_point requestedAt);
     void orderAnswered(const host_order &order, host_order_result result, time_point now);
 
     /** Whether the host is evacuated or maintained, or is to be soon. */
@@ -78,6 +80,7 @@
         bool isOutstanding = false; /**< The order waits for its answer. */
         std::uint64_t recordedWith = 0; /**< Batch that has the order; 0 before it is decided. */
         time_point orderedAt{};
+        time_point answeredAt{}; /**< When the order was answered, or was given up without an answer. */
         time_point notBefore{};
     };
 
@@ -108,7 +111,7 @@
     std::map<std::int64_t, std::set<std::string>> m_restoredBegun;
     std::map<std::string, host_work> m_work;
     std::map<std::string, host_description> m_hosts;
-    time_point m_hostsAt{};
+    time_point m_hostsAt{}; /**< When the list was asked for. */
     std::vector<host_order> m_orders;
     std::vector<status_update> m_updates;
 };
--- /dev/null
+++ b/tests/scheduler/wave_manager_test.cpp
@@ -0,0 +1,85 @@
+#include "manual_cluster.h"
+#include "scheduler/wave_manager.h"
+
+#include <catch2/catch.hpp>
+
+using namespace parsleyglade;
+using namespace std::chrono_literals;
+
+namespace {
+
+host_description upHost(const std::string &name, const std::string &executor)
+{
+    host_description host;
+    host.name = name;
+    host.pool = "service";
+    host.state = host_state::up;
+    host.executor = executor;
+    return host;
+}
+
+/** A wave over two empty hosts of which one may be down at a time. */
+struct wave_fixture
+{
+    wave_fixture()
+    {
+        cluster.addExecutor("first-executor");
+        cluster.addExecutor("second-executor");
+        waves.lead(1, cluster.now);
+        wave_request request;
+        request.wave = 1;
+        request.cap = 1;
+        request.within = 60s;
+        request.hosts = {"first", "second"};
+        waves.setWave(request, cluster.now);
+        waves.setHosts({upHost("first", "first-executor"), upHost("second", "second-executor")}, cluster.now);
+    }
+
+    /** Lets time pass, and returns the orders given meanwhile. */
+    std::vector<host_order> run(duration time)
+    {
+        std::vector<host_order> orders;
+        const time_point end = cluster.now + time;
+        while (cluster.now < end) {
+            waves.decide(cluster.now);
+            cluster.settle(10ms);
+            for (host_order &order : waves.takeOrders()) {
+                orders.push_back(std::move(order));
+            }
+        }
+        return orders;
+    }
+
+    manual_cluster cluster;
+    wave_manager waves{cluster.state, {0s}};
+};
+
+} // namespace
+
+// Guards against more hosts in maintenance than a wave allows: a list that was asked for before the order showed the host as just back
+// from a move, with another executor, and that was taken for the end of its maintenance.
+TEST_CASE("a list that was asked for before an order does not end the host's maintenance")
+{
+    wave_fixture fixture;
+    const auto first = fixture.run(100ms);
+    REQUIRE(first.size() == 1);
+    const std::string ordered = first.front().host;
+    const std::string other = ordered == "first" ? "second" : "first";
+    const time_point askedBefore = fixture.cluster.now;
+    fixture.cluster.now += 10ms;
+    fixture.waves.orderAnswered(first.front(), host_order_result::done, fixture.cluster.now);
+
+    fixture.cluster.now += 10ms;
+    fixture.waves.setHosts({upHost(ordered, "after-move"), upHost(other, other + "-executor")}, askedBefore);
+    CHECK(fixture.run(200ms).empty());
+
+    host_description down = upHost(ordered, "after-move");
+    down.state = host_state::maintenance;
+    fixture.waves.setHosts({down, upHost(other, other + "-executor")}, fixture.cluster.now);
+    CHECK(fixture.run(200ms).empty());
+
+    fixture.waves.setHosts({upHost(ordered, "after-maintenance"), upHost(other, other + "-executor")}, fixture.cluster.now);
+    const auto second = fixture.run(200ms);
+    REQUIRE(second.size() == 1);
+    CHECK(second.front().host == other);
+}
