End a stopping entry host only when its last answers have been taken

Cause: with the quiet time one of four runs of graceful_stop_test under sanitizers still lost an attempt, at load time 7.879 s, which is when entry-4 logs "stopped" (09:43:52.09). A last answer is handed to a lingering close, which writes it in a later turn of the loop; the daemon counted open connections only, and could end the process before that turn.

Change: a listener is drained when no connection is open and no lingering close is left; the daemon waits for that within its drain limit. Test: at the moment when the connection count is 0 the server is not drained, and is when the caller has taken the answer and closed.

--- a/src/entry/caller_task.cpp
+++ b/src/entry/caller_task.cpp
@@ -72,6 +72,11 @@
     m_server.stopAccepting();
 }
 
+bool caller_task::isDrained() const
+{
+    return m_server.isDrained();
+}
+
 std::size_t caller_task::connectionCount() const
 {
     return m_server.connectionCount();
--- a/src/entry/caller_task.h
+++ b/src/entry/caller_task.h
@@ -33,6 +33,9 @@
     /** Accepts no more connections; requests in flight are answered. */
     void stopAccepting();
 
+    /** Whether every answer has reached its caller and no connection is open. */
+    bool isDrained() const;
+
     std::size_t connectionCount() const;
 
 private:
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -134,7 +134,7 @@
 
 void entry_daemon::finishStop()
 {
-    const bool isDone = m_jobs.isIdle() && m_callers.connectionCount() == 0;
+    const bool isDone = m_jobs.isIdle() && m_callers.isDrained();
     if (!isDone && m_loop.now() < m_stopBy) {
         return;
     }
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -279,7 +279,7 @@
 {
     const int duplicate = ::dup(socket);
     if (duplicate >= 0) {
-        lingering_close::start(m_context.loop, duplicate, m_lastAnswer);
+        lingering_close::start(m_context.loop, duplicate, m_lastAnswer, m_context.lingering);
     }
 }
 
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -27,6 +27,7 @@
         request_handler handler;
         std::function<http_response(result_code)> refusal; /**< Answer for bad input. */
         std::function<void(http_connection *)> closed;
+        std::shared_ptr<const void> lingering; /**< Held by each connection that ends with an answer of its own. */
         bool closing = false; /**< When set, connections close after their current answer. */
     };
 
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -25,10 +25,13 @@
                          std::function<http_response(result_code)> refusal)
     : m_loop(loop)
     , m_settings(std::move(settings))
-    , m_context{loop, m_settings, std::move(handler), std::move(refusal),
+    , m_context{loop,
+                m_settings,
+                std::move(handler),
+                std::move(refusal),
                 [this](http_connection *closed) {
-                    m_connections.erase(closed);
-                }}
+                    m_connections.erase(closed); },
+                std::make_shared<int>(0)}
     , m_server(evhtp_new(loop.base(), nullptr))
 {
     const timeval idle = toTimeval(m_settings.idleTimeLimit);
@@ -94,6 +97,12 @@
     m_bound = false;
 }
 
+bool http_server::isDrained() const
+{
+    constexpr long own = 1;
+    return m_connections.empty() && m_context.lingering.use_count() == own;
+}
+
 std::size_t http_server::connectionCount() const
 {
     return m_connections.size();
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -29,7 +29,10 @@
         answer. A connection or request that has reached this host's sockets by now is still served. */
     void stopAccepting();
 
-    /** Connections that are open now. */
+    /** Whether no connection is open and no last answer is on its way any more; the process may end then. */
+    bool isDrained() const;
+
+    /** Connections that are open now, without those that end with their last answer. */
     std::size_t connectionCount() const;
 
 private:
--- a/src/transport/lingering_close.cpp
+++ b/src/transport/lingering_close.cpp
@@ -25,10 +25,11 @@
     }
 }
 
-void lingering_close::start(event_loop &loop, int socket, const std::string &answer)
+void lingering_close::start(event_loop &loop, int socket, const std::string &answer, std::shared_ptr<const void> held)
 {
     const std::shared_ptr<lingering_close> session(new lingering_close(loop));
     loop.retain(session);
+    session->m_held = std::move(held);
     session->m_buffer = bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
 
     const auto drop = [](bufferevent *buffer, void *) {
--- a/src/transport/lingering_close.h
+++ b/src/transport/lingering_close.h
@@ -19,8 +19,8 @@
     lingering_close &operator=(const lingering_close &) = delete;
     ~lingering_close();
 
-    /** Takes over a connected socket. */
-    static void start(event_loop &loop, int socket, const std::string &answer);
+    /** Takes over a connected socket. @param held released when the close has ended, so that its holder can tell */
+    static void start(event_loop &loop, int socket, const std::string &answer, std::shared_ptr<const void> held);
 
 private:
     explicit lingering_close(event_loop &loop);
@@ -30,6 +30,7 @@
     event_loop &m_loop;
     bufferevent *m_buffer = nullptr;
     timer_subscription m_limit;
+    std::shared_ptr<const void> m_held;
 };
 
 } // namespace parsleyglade
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -340,3 +340,27 @@
     CHECK(caller.receive().find("just in time") != std::string::npos);
     CHECK(caller.isClosed());
 }
+
+// Guards against a process that ends with the last answer of a connection still in its own buffer.
+TEST_CASE("a server is drained only when its last answers have been taken")
+{
+    echo_server fixture;
+    CHECK(fixture.server.isDrained());
+    {
+        raw_connection caller(fixture.loop, fixture.port);
+        caller.send(post("/later", "x"));
+        caller.run(20ms);
+        REQUIRE(fixture.pending.size() == 1);
+        fixture.server.stopAccepting();
+        CHECK_FALSE(fixture.server.isDrained());
+
+        fixture.pending.front()->respond({200, {}, "finished"});
+        fixture.loop.post([&] { CHECK_FALSE(fixture.server.isDrained()); });
+        CHECK(caller.receive().find("finished") != std::string::npos);
+        CHECK(fixture.server.connectionCount() == 0);
+        CHECK_FALSE(fixture.server.isDrained());
+    }
+    const auto end = fixture.loop.after(50ms, [&] { fixture.loop.stop(); });
+    fixture.loop.run();
+    CHECK(fixture.server.isDrained());
+}
