--- a/src/control/control_daemon.cpp
+++ b/src/control/control_daemon.cpp
@@ -12,7 +12,8 @@
 } // namespace
 
 control_daemon::control_daemon(event_loop &loop, const platform_clients &platform, control_settings settings, peer_settings peers)
-    : m_decoder(platform.decoder)
+    : m_loop(loop)
+    , m_decoder(platform.decoder)
     , m_settings(std::move(settings))
     , m_peers(std::move(peers))
     , m_leadership(loop, platform, m_settings, m_peers, [this](const std::string &encoded) { takeConfiguration(encoded, "leader"); })
@@ -48,6 +49,11 @@
     return m_configuration;
 }
 
+duration control_daemon::configurationAge() const
+{
+    return m_loop.now() - m_operators.currentAsOf();
+}
+
 leadership_task &control_daemon::leadership()
 {
     return m_leadership;
@@ -69,6 +75,10 @@
     metrics.push_back(gauge("parsleyglade_ready", "1 while this entry host asks for connections.", isReady() ? 1 : 0));
     metrics.push_back(gauge("parsleyglade_leader_silence_seconds", "Time since the leader was last known to work.", toSeconds(m_leadership.silence())));
     metrics.push_back(gauge("parsleyglade_configuration_version", "Version of the configuration in force.", static_cast<double>(m_configuration.version)));
+    metrics.push_back(
+        gauge("parsleyglade_configuration_bytes", "Size of the operator's record in force.", static_cast<double>(m_configurationBytes)));
+    metrics.push_back(gauge("parsleyglade_configuration_age_seconds", "Time since the configuration in force was last known to be the newest.",
+                            toSeconds(configurationAge())));
     metrics.push_back(
         gauge("parsleyglade_log_lines_left_out", "Log lines left out over the rate or for a slow reader.", static_cast<double>(leftOutLogLines())));
     if (leader != nullptr) {
@@ -112,6 +122,7 @@
 
 void control_daemon::takeConfiguration(const std::string &encoded, std::string_view source)
 {
+    const time_point begun = m_loop.now();
     auto configuration = m_decoder.decodeConfiguration(encoded);
     if (!configuration) {
         m_log.error("the configuration can't be decoded", {{"source", source}, {"reason", configuration.lastReason().reason}});
@@ -120,7 +131,16 @@
     if (configuration->version <= m_configuration.version) {
         return; // loaded again
     }
-    m_log.info("configuration in force", {{"version", configuration->version}, {"source", source}, {"queues", configuration->queues.size()}});
+    const auto decodeTime = std::chrono::duration_cast<std::chrono::milliseconds>(m_loop.now() - begun);
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(configurationAge());
+    m_log.info("configuration in force",
+               {{"version", configuration->version},
+                {"source", source},
+                {"queues", configuration->queues.size()},
+                {"bytes", encoded.size()},
+                {"decodeMs", decodeTime.count()},
+                {"previousAgeMs", age.count()}});
+    m_configurationBytes = encoded.size();
     m_configuration = std::move(*configuration);
     m_leadership.setConfiguration(m_configuration, encoded);
 }
--- a/src/control/control_daemon.h
+++ b/src/control/control_daemon.h
@@ -24,6 +24,10 @@
     bool isReady() const;
 
     const queue_configuration &configuration() const;
+
+    /** Time since the configuration in force was last known to be the newest. */
+    duration configurationAge() const;
+
     leadership_task &leadership();
     work_gateway &gateway();
 
@@ -38,6 +42,7 @@
     void takeWave(const store_record &record);
     void takeConfiguration(const std::string &encoded, std::string_view source);
 
+    const event_loop &m_loop;
     const directory_decoder &m_decoder;
     control_settings m_settings;
     peer_settings m_peers;
@@ -46,6 +51,7 @@
     work_gateway m_gateway;
     peer_server m_server;
     keyed_follower m_operators;
+    std::size_t m_configurationBytes = 0; /**< Of the operator's record in force. */
     bool m_isRetired = false;
     logger m_log{"control"};
 };
--- a/src/control/keyed_follower.cpp
+++ b/src/control/keyed_follower.cpp
@@ -2,6 +2,18 @@
 
 namespace parsleyglade {
 
+namespace {
+
+// Answers from this size on take noticeable time on the slowest links and are logged one by one.
+constexpr std::size_t largeReadBytes = std::size_t{64} * 1024;
+
+std::int64_t toMilliseconds(duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+} // namespace
+
 keyed_follower::keyed_follower(timer_service &timers, keyed_store &store, store_topic topic, settings limits,
                                std::function<void(const store_record &)> recordChanged, std::function<void()> caughtUp)
     : m_timers(timers)
@@ -28,11 +40,18 @@
     return m_lastContact;
 }
 
+time_point keyed_follower::currentAsOf() const
+{
+    return m_currentAsOf;
+}
+
 void keyed_follower::load()
 {
+    m_loadBegun = m_timers.now();
     m_isFirstPage = true;
     m_afterKey.clear();
     m_loadedKeys.clear();
+    m_askedAt = m_timers.now();
     m_store.newest(m_topic, m_afterKey, [this, alive = std::weak_ptr<bool>(m_alive)](const store_page &page) {
         if (alive.lock()) {
             takePage(page);
@@ -49,6 +68,7 @@
     }
 
     regained();
+    noteLargeRead(page.records);
     // Later pages may show newer records; reading on from the first page's end repeats them, which does no harm.
     if (m_isFirstPage) {
         m_next = page.end;
@@ -60,6 +80,7 @@
         report(record);
     }
     if (page.hasMore && !page.records.empty()) {
+        m_askedAt = m_timers.now();
         m_store.newest(m_topic, m_afterKey, [this, alive = std::weak_ptr<bool>(m_alive)](const store_page &next) {
             if (alive.lock()) {
                 takePage(next);
@@ -75,12 +96,14 @@
         }
     }
     m_isLoaded = true;
+    m_currentAsOf = std::max(m_currentAsOf, m_loadBegun);
     m_caughtUp();
     again(m_settings.pause, &keyed_follower::readOn);
 }
 
 void keyed_follower::readOn()
 {
+    m_askedAt = m_timers.now();
     m_store.read(m_topic, m_next, m_settings.wait, [this, alive = std::weak_ptr<bool>(m_alive)](const store_read_result &result) {
         if (alive.lock()) {
             takeRead(result);
@@ -104,10 +127,15 @@
     }
 
     regained();
+    noteLargeRead(result.records);
     m_next = result.next;
     for (const store_record &record : result.records) {
         report(record);
     }
+    if (result.next >= result.end) {
+        // An answer without records came at the end of its wait; one with records may have been under way since it was asked for.
+        m_currentAsOf = std::max(m_currentAsOf, result.records.empty() ? m_lastContact : m_askedAt);
+    }
     m_caughtUp();
     again(m_settings.pause, &keyed_follower::readOn);
 }
@@ -127,10 +155,24 @@
     m_timer = m_timers.after(delay, [this, step] { (this->*step)(); });
 }
 
+void keyed_follower::noteLargeRead(const std::vector<store_record> &records) const
+{
+    std::size_t bytes = 0;
+    for (const store_record &record : records) {
+        bytes += record.value.size();
+    }
+    if (bytes >= largeReadBytes) {
+        m_log.info("read a large answer",
+                   {{"topic", name(m_topic)}, {"records", records.size()}, {"bytes", bytes}, {"elapsedMs", toMilliseconds(m_timers.now() - m_askedAt)}});
+    }
+}
+
 void keyed_follower::lost(const std::string &reason)
 {
+    ++m_failures;
     if (!m_isLost) {
         m_isLost = true;
+        m_lostAt = m_timers.now();
         m_log.warning("lost the topic", {{"topic", name(m_topic)}, {"reason", reason}});
     }
 }
@@ -140,8 +182,9 @@
     m_lastContact = m_timers.now();
     if (m_isLost) {
         m_isLost = false;
-        m_log.info("regained the topic", {{"topic", name(m_topic)}});
+        m_log.info("regained the topic", {{"topic", name(m_topic)}, {"failures", m_failures}, {"lostMs", toMilliseconds(m_timers.now() - m_lostAt)}});
     }
+    m_failures = 0;
 }
 
 } // namespace parsleyglade
--- a/src/control/keyed_follower.h
+++ b/src/control/keyed_follower.h
@@ -41,12 +41,16 @@
     /** When the store last answered. */
     time_point lastContact() const;
 
+    /** The latest time up to which every record of the topic has been reported for certain. */
+    time_point currentAsOf() const;
+
 private:
     void load();
     void takePage(const store_page &page);
     void readOn();
     void takeRead(const store_read_result &result);
     void report(const store_record &record);
+    void noteLargeRead(const std::vector<store_record> &records) const;
     void again(duration delay, void (keyed_follower::*step)());
     void lost(const std::string &reason);
     void regained();
@@ -65,6 +69,11 @@
     bool m_isLoaded = false;
     bool m_isLost = false;
     time_point m_lastContact{};
+    time_point m_currentAsOf{};
+    time_point m_askedAt{}; /**< When the read under way was sent. */
+    time_point m_loadBegun{};
+    time_point m_lostAt{};
+    int m_failures = 0; /**< Reads in a row that failed. */
     timer_subscription m_timer;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     logger m_log{"store"};
--- a/src/control/keyed_store.h
+++ b/src/control/keyed_store.h
@@ -65,6 +65,7 @@
     store_read_status status = store_read_status::unavailable;
     std::vector<store_record> records; /**< In order of offset. */
     std::uint64_t next = 0; /**< Offset to read from next time. */
+    std::uint64_t end = 0; /**< Offset that the next record of the topic would have got when the store answered. */
     std::string reason;
 };
 
--- a/src/external/http_requester.cpp
+++ b/src/external/http_requester.cpp
@@ -118,6 +118,7 @@
         std::string address;
         std::unique_ptr<evhttp_connection, connection_deleter> handle;
         std::function<void(http_answer)> done; /**< Set while a request is outstanding. */
+        evhttp_request *request = nullptr; /**< Owned by evhttp; valid while a request is outstanding. */
         std::string reason;
         timer_subscription timeLimit;
         time_point idleSince;
@@ -146,6 +147,13 @@
         return !hasSurplus(item) && (socket < 0 || !hasPendingInput(socket));
     }
 
+    /** Bytes of the answer that have come so far. */
+    static std::size_t receivedBytes(const connection &item)
+    {
+        const std::size_t unparsed = evbuffer_get_length(bufferevent_get_input(evhttp_connection_get_bufferevent(item.handle.get())));
+        return unparsed + (item.request == nullptr ? 0 : evbuffer_get_length(evhttp_request_get_input_buffer(item.request)));
+    }
+
     static bool isIdle(const connection &item)
     {
         return !item.done && !item.broken;
@@ -204,6 +212,7 @@
         }
 
         item.timeLimit.cancel();
+        item.request = nullptr;
         item.idleSince = loop.now();
         item.broken = !reusable;
         deliver(std::exchange(item.done, nullptr), std::move(answer));
@@ -252,8 +261,10 @@
     {
         item.done = std::move(done);
         item.reason.clear();
-        item.timeLimit = loop.after(request.timeLimit,
-                                    [this, &item] { finish(item, withoutAnswer(http_delivery::failed, "no whole answer within the time limit"), false); });
+        item.timeLimit = loop.after(request.timeLimit, [this, &item] {
+            const std::string received = std::to_string(receivedBytes(item));
+            finish(item, withoutAnswer(http_delivery::failed, "no whole answer within the time limit, " + received + " bytes of it came"), false);
+        });
 
         // The time limit above also covers answers that trickle; the limit of evhttp only covers silence and must not fire first.
         constexpr std::int64_t microsecondsPerSecond = 1'000'000;
@@ -262,6 +273,7 @@
         evhttp_connection_set_timeout_tv(item.handle.get(), &silence);
 
         evhttp_request *outgoing = evhttp_request_new(onAnswer, &item);
+        item.request = outgoing;
         evhttp_request_set_error_cb(outgoing, onError);
         evkeyvalq *headers = evhttp_request_get_output_headers(outgoing);
         bool valid = evhttp_add_header(headers, "Host", item.address.c_str()) == 0;
@@ -270,6 +282,7 @@
         }
         if (!valid) {
             evhttp_request_free(outgoing);
+            item.request = nullptr;
             finish(item, withoutAnswer(http_delivery::not_sent, "a header of the request is invalid"), false);
             return;
         }
--- a/tests/control/memory_store.cpp
+++ b/tests/control/memory_store.cpp
@@ -85,6 +85,7 @@
         result.records.push_back(state.records[offset]);
     }
     result.next = std::max<std::uint64_t>(from, state.records.size());
+    result.end = state.records.size();
     if (result.records.empty() && m_timers.now() < until) {
         later(answerTime, [this, topic, from, until, done = std::move(done)] { answerRead(topic, from, until, done); });
         return;
