--- a/src/control/journal_loader.cpp
+++ b/src/control/journal_loader.cpp
@@ -9,6 +9,19 @@
 // A leader needs a few round trips for an append that it has to repeat.
 constexpr int watchedRoundTrips = 3;
 
+// After every key of the journal: a page from here on has no records, only the journal's end.
+constexpr const char *afterLastKey = "~";
+
+/** Whether the record says that its writer has given up the lead. */
+bool hasResigned(const store_record &record)
+{
+    if (record.key != journal_writer::batchKey) {
+        return false;
+    }
+    const auto header = decode<wire::batch_record>(record.value);
+    return header && header->resigned;
+}
+
 } // namespace
 
 journal_loader::journal_loader(const timer_service &timers, keyed_store &store, const scheduler_settings &settings, duration silence,
@@ -24,9 +37,76 @@
 void journal_loader::start()
 {
     m_begun = m_timers.now();
+    m_store.newest(store_topic::journal, afterLastKey, [this, alive = std::weak_ptr<bool>(m_alive)](const store_page &page) {
+        if (alive.lock()) {
+            takeEnd(page);
+        }
+    });
+}
+
+void journal_loader::takeEnd(const store_page &page)
+{
+    if (!page.isAvailable) {
+        finish(finding::unavailable, page.reason);
+        return;
+    }
+    m_end = page.end;
+    m_silence += watchedRoundTrips * (m_timers.now() - m_begun);
+    if (m_end == 0) {
+        loadPage(); // nobody has ever written
+        return;
+    }
+    m_store.read(store_topic::journal, m_end - 1, duration::zero(), whileAlive(&journal_loader::takeLastRecord));
+}
+
+void journal_loader::takeLastRecord(const store_read_result &read)
+{
+    if (read.status == store_read_status::unavailable) {
+        finish(finding::unavailable, read.reason);
+        return;
+    }
+    if (!read.records.empty() && hasResigned(read.records.back())) {
+        loadPage();
+        return;
+    }
+    if (read.status == store_read_status::ok) {
+        m_end = read.next;
+    }
+    watch();
+}
+
+void journal_loader::watch()
+{
+    m_store.read(store_topic::journal, m_end, m_silence, whileAlive(&journal_loader::takeWatched));
+}
+
+void journal_loader::takeWatched(const store_read_result &read)
+{
+    if (read.status != store_read_status::ok) {
+        finish(finding::unavailable, read.reason);
+        return;
+    }
+    const bool wasWritten = !read.records.empty();
+    if (wasWritten && !hasResigned(read.records.back())) {
+        m_end = read.next;
+        finish(finding::alive);
+        return;
+    }
+    if (!wasWritten) {
+        m_silentEnd = m_end;
+    }
     loadPage();
 }
 
+std::function<void(const store_read_result &)> journal_loader::whileAlive(void (journal_loader::*step)(const store_read_result &))
+{
+    return [this, step, alive = std::weak_ptr<bool>(m_alive)](const store_read_result &read) {
+        if (alive.lock()) {
+            (this->*step)(read);
+        }
+    };
+}
+
 void journal_loader::loadPage()
 {
     m_store.newest(store_topic::journal, m_afterKey, [this, alive = std::weak_ptr<bool>(m_alive)](const store_page &page) {
@@ -45,7 +125,6 @@
     if (m_isFirstPage) {
         m_end = page.end;
         m_isFirstPage = false;
-        m_silence += watchedRoundTrips * (m_timers.now() - m_begun);
     }
     for (const store_record &record : page.records) {
         m_afterKey = record.key;
@@ -78,7 +157,7 @@
         takeRecord(record);
     }
 
-    if (read.records.empty() && (isWatch || m_isOrphaned)) {
+    if (read.records.empty() && (isWatch || m_isOrphaned || m_silentEnd == m_end)) {
         finish(finding::silent);
     } else if (isWatch && !m_isOrphaned) {
         finish(finding::alive);
@@ -91,8 +170,7 @@
 void journal_loader::takeRecord(const store_record &record)
 {
     if (record.key == journal_writer::batchKey) {
-        const auto header = decode<wire::batch_record>(record.value);
-        m_isOrphaned = header && header->resigned;
+        m_isOrphaned = hasResigned(record);
         return;
     }
     if (!record.value.empty() && !m_scheduler->restore(record.key, record.value)) {
--- a/src/control/journal_loader.h
+++ b/src/control/journal_loader.h
@@ -12,7 +12,10 @@
 
 namespace parsleyglade {
 
-/** Reads the whole journal into a scheduler, then watches whether anybody writes to it. Used once. */
+/**
+ * Watches whether anybody writes to the journal, and reads it into a scheduler when nobody does. The journal is large and its readers are
+ * many after a loss of the leader, so nothing but its last record is read while somebody writes. Used once.
+ */
 class journal_loader
 {
 public:
@@ -41,10 +44,15 @@
     void start();
 
 private:
+    void takeEnd(const store_page &page);
+    void takeLastRecord(const store_read_result &read);
+    void watch();
+    void takeWatched(const store_read_result &read);
     void loadPage();
     void takePage(const store_page &page);
     void catchUp(duration wait);
     void takeRead(const store_read_result &read, bool isWatch);
+    std::function<void(const store_read_result &)> whileAlive(void (journal_loader::*step)(const store_read_result &));
     void takeRecord(const store_record &record);
     void finish(finding found, std::string reason = {});
 
@@ -56,6 +64,7 @@
     std::unique_ptr<scheduler> m_scheduler;
     std::string m_afterKey;
     std::uint64_t m_end = 0;
+    std::optional<std::uint64_t> m_silentEnd; /**< The end of the journal during the whole watch. */
     bool m_isFirstPage = true;
     bool m_isOrphaned = true; /**< Nobody has written, or the last writer has resigned. */
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/src/control/leader_task.cpp
+++ b/src/control/leader_task.cpp
@@ -174,10 +174,12 @@
 
     wire::batch_record header;
     if (m_isResigning) {
-        // The successor is to know everything that is known here.
+        // The successor is to know everything that is known here, and to see at the journal's last record that nobody leads.
         header.resigned = true;
         auto last = m_scheduler->takeBatch();
-        m_journal.append(header, last ? std::move(last->entries) : std::vector<journal_entry>(), [this](std::uint64_t) { end("resigned"); });
+        auto entries = last ? std::move(last->entries) : std::vector<journal_entry>();
+        entries.push_back({journal_writer::batchKey, encode(header)});
+        m_journal.append(header, std::move(entries), [this](std::uint64_t) { end("resigned"); });
         return;
     }
 
--- a/tests/control/journal_test.cpp
+++ b/tests/control/journal_test.cpp
@@ -112,6 +112,60 @@
     }
 }
 
+// Incident CONFIG: entry hosts that found a working leader silent loaded the whole journal again and again, which kept small links full.
+TEST_CASE("a journal that is written to is not loaded by those who watch it", "[journal]")
+{
+    manual_timer_service timers;
+    memory_store store(timers);
+    wire::batch_record header;
+    header.writer = 7;
+    for (int job = 0; job < 50; ++job) {
+        store.put(store_topic::journal, {{journal_writer::batchKey, encode(header)}, {"p" + std::to_string(job), "progress"}});
+    }
+
+    std::optional<journal_loader::finding> found;
+    journal_loader loader(timers, store, {}, 800ms, [&](journal_loader::result result) { found = result.found; });
+    loader.start();
+    timers.advance(200ms);
+    store.put(store_topic::journal, {{journal_writer::batchKey, encode(header)}});
+    timers.advance(50ms);
+    CHECK(found == journal_loader::finding::alive);
+    CHECK(store.pagedRecords == 0);
+}
+
+TEST_CASE("a leader that resigns with its last entries is succeeded without a wait", "[journal]")
+{
+    manual_timer_service timers;
+    memory_store store(timers);
+    wire::batch_record header;
+    header.writer = 7;
+    std::optional<journal_loader::result> found;
+    journal_loader loader(timers, store, {}, 1200ms, [&](journal_loader::result result) { found = std::move(result); });
+    const auto put = [&] {
+        header.resigned = true;
+        const std::string resignation = encode(header);
+        store.put(store_topic::journal,
+                  {{journal_writer::batchKey, resignation}, {"hhost", "order"}, {"mhost", "order"}, {journal_writer::batchKey, resignation}});
+    };
+    SECTION("before the watch")
+    {
+        put();
+        loader.start();
+    }
+    SECTION("during the watch")
+    {
+        store.put(store_topic::journal, {{journal_writer::batchKey, encode(header)}});
+        loader.start();
+        timers.advance(100ms);
+        put();
+    }
+    timers.advance(50ms);
+    REQUIRE(found);
+    CHECK(found->found == journal_loader::finding::silent);
+    CHECK(found->hasResigned);
+    CHECK(found->end == store.end(store_topic::journal));
+}
+
 TEST_CASE("nobody waits for a leader that has resigned, or where nobody ever led", "[journal]")
 {
     manual_timer_service timers;
--- a/tests/control/memory_store.cpp
+++ b/tests/control/memory_store.cpp
@@ -118,6 +118,7 @@
             }
             page.records.push_back(record);
         }
+        pagedRecords += page.records.size();
         done(page);
     });
 }
--- a/tests/control/memory_store.h
+++ b/tests/control/memory_store.h
@@ -41,6 +41,7 @@
     std::deque<append_fault> appendFaults;
     bool isDown = false;
     std::size_t pageSize = 500;
+    std::size_t pagedRecords = 0; /**< Records that newest() has delivered. */
 
 private:
     struct topic_state
