Pass configurations between entry hosts only when they are asked for

Cause: every answer to a probe carried the operator's whole record, 321 to 593 KB, while the asking host had an older version. At 10 Mbit/s that is half a second alone; the probe's limit is 0.7 s, the store's read of the same record shares the link. So probes failed at every wide configuration, the leader counted as silent, and what silence starts kept the link full: a state that outlives its trigger (58 s at one host). Class: a health check that carries bulk data. Ruled out: processor (0.02 core in the mean; decoding 0.2 s at most) and memory (no restart; its peak of 140 MB came from this, see below).

Change: probes and their answers carry versions only. Who hears of a newer version that the store has not delivered within a second asks the peer for it, over a connection of its own (configuration_puller). A leader tells a new version to all that wait with a probe at once.

Tests: 'the answer to a probe has no configuration unless it was asked for' fails with the record in each answer; 'entry hosts that the store does not serve have the configuration of the others within two seconds', which had no test.

--- a/idl/parsleyglade.thrift
+++ b/idl/parsleyglade.thrift
@@ -353,8 +353,8 @@
 struct leader_probe {
     1: i64 configurationVersion
     2: string peerAddress          // of the asking entry host
-    3: optional binary configuration   // the operator's record, where the leader has an older version
     4: i32 leadingMillicores           // processor share of the asking entry host; 0 while it could not lead
+    5: bool wantsConfiguration     // the answer is to have the operator's record, if it is newer
 }
 
 struct leader_status {
@@ -365,7 +365,7 @@
     5: string leaderAddress        // whom the answering entry host follows; empty when it knows none that works
     6: list<string> members        // peer addresses of the entry hosts that follow the leader
     7: i64 leadership              // fencing token of that leader
-    8: optional binary configuration   // the operator's record, where the asker has an older version
+    8: optional binary configuration   // the operator's record, where it was asked for and the asker has an older version
 }
 
 // One frame between entry hosts. Exactly one of the optional fields is set.
--- /dev/null
+++ b/src/control/configuration_puller.cpp
@@ -0,0 +1,88 @@
+#include "control/configuration_puller.h"
+
+namespace parsleyglade {
+
+configuration_puller::configuration_puller(event_loop &loop, const peer_settings &peers, const control_settings &settings,
+                                           std::function<void(const std::string &)> pulled)
+    : m_loop(loop)
+    , m_peers(peers)
+    , m_settings(settings)
+    , m_pulled(std::move(pulled))
+{
+}
+
+void configuration_puller::offer(const std::string &address, std::int64_t version)
+{
+    if (version < m_offeredVersion || version <= m_version) {
+        return;
+    }
+    const bool isWaiting = isBehind();
+    m_offeredVersion = version;
+    m_offeredBy = address;
+    if (!isWaiting) {
+        wait();
+    }
+}
+
+void configuration_puller::setVersion(std::int64_t version)
+{
+    m_version = version;
+    closeLink();
+    m_timer.cancel();
+    if (isBehind()) {
+        wait();
+    }
+}
+
+bool configuration_puller::isBehind() const
+{
+    return m_offeredVersion > m_version;
+}
+
+void configuration_puller::wait()
+{
+    m_timer = m_loop.after(m_settings.configurationPatience, [this] { pull(); });
+}
+
+void configuration_puller::pull()
+{
+    m_log.info("asks a peer for the configuration", {{"peer", m_offeredBy}, {"version", m_offeredVersion}, {"inForce", m_version}});
+    closeLink();
+    m_link = std::make_unique<peer_link>(m_loop, m_peers, m_offeredBy, [this](bool isReady) {
+        if (isReady) {
+            request();
+        }
+    });
+    m_timer = m_loop.after(m_settings.configurationPullLimit, [this] {
+        closeLink();
+        wait();
+    });
+}
+
+void configuration_puller::request()
+{
+    wire::leader_probe question;
+    question.configurationVersion = m_version;
+    question.peerAddress = m_settings.peerAddress;
+    question.wantsConfiguration = true;
+    wire::peer_message message;
+    message.__set_probe(question);
+    m_link->request(message, m_settings.configurationPullLimit, [this](const outcome<wire::peer_message> &reply) { take(reply); });
+}
+
+void configuration_puller::take(const outcome<wire::peer_message> &reply)
+{
+    if (reply && reply->__isset.probeReply && reply->probeReply.__isset.configuration) {
+        m_pulled(reply->probeReply.configuration);
+    }
+}
+
+void configuration_puller::closeLink()
+{
+    // The link may be further up the stack; it goes when the stack has unwound.
+    if (m_link) {
+        m_loop.post([old = std::shared_ptr<peer_link>(std::move(m_link))] {});
+    }
+}
+
+} // namespace parsleyglade
--- a/src/control/control_daemon.cpp
+++ b/src/control/control_daemon.cpp
@@ -16,7 +16,7 @@
     , m_decoder(platform.decoder)
     , m_settings(std::move(settings))
     , m_peers(std::move(peers))
-    , m_leadership(loop, platform, m_settings, m_peers, [this](const std::string &encoded) { takeConfiguration(encoded, "leader"); })
+    , m_leadership(loop, platform, m_settings, m_peers, [this](const std::string &encoded) { takeConfiguration(encoded, "peer"); })
     , m_gateway(loop, m_leadership, m_settings)
     , m_server(loop, m_peers, m_settings.peerAddress,
                [this](const peer_identity &, wire::peer_message &message, const peer_server::reply_function &reply) {
--- a/src/control/leadership_task.cpp
+++ b/src/control/leadership_task.cpp
@@ -15,7 +15,7 @@
 } // namespace
 
 leadership_task::leadership_task(event_loop &loop, const platform_clients &platform, const control_settings &settings, const peer_settings &peers,
-                                 std::function<void(const std::string &)> configurationTold)
+                                 std::function<void(const std::string &)> configurationPulled)
     : m_loop(loop)
     , m_platform(platform)
     , m_settings(settings)
@@ -23,7 +23,7 @@
     , m_announcements(
           loop, platform.store, store_topic::leader, keyed_follower::settings{announcementWait},
           [this](const store_record &record) { takeAnnouncement(record); }, [] {})
-    , m_configurationTold(std::move(configurationTold))
+    , m_puller(loop, peers, settings, std::move(configurationPulled))
     , m_random(static_cast<std::uint64_t>(settings.incarnation))
 {
 }
@@ -46,8 +46,10 @@
 {
     m_configuration = configuration;
     m_encodedConfiguration = std::move(encoded);
+    m_puller.setVersion(configuration.version);
     if (m_leader) {
         m_leader->setConfiguration(configuration);
+        answerHeldProbes();
     }
 }
 
@@ -193,8 +195,12 @@
 void leadership_task::takeProbe(const wire::leader_probe &question, const peer_server::reply_function &reply)
 {
     rememberMember(question.peerAddress);
-    if (question.__isset.configuration && question.configurationVersion > m_configuration.version) {
-        m_configurationTold(question.configuration);
+    m_puller.offer(question.peerAddress, question.configurationVersion);
+    if (question.wantsConfiguration) {
+        wire::peer_message answer;
+        answer.__set_probeReply(statusFor(question));
+        reply(answer);
+        return;
     }
     handOverTo(question);
     m_heldProbes.push_back({question, reply});
@@ -219,7 +225,7 @@
     for (const auto &[address, heard] : m_members) {
         status.members.push_back(address);
     }
-    if (question.configurationVersion < m_configuration.version) {
+    if (question.wantsConfiguration && question.configurationVersion < m_configuration.version) {
         status.__set_configuration(m_encodedConfiguration);
     }
     return status;
@@ -240,9 +246,6 @@
     question.configurationVersion = m_configuration.version;
     question.peerAddress = m_settings.peerAddress;
     question.leadingMillicores = leadingMillicores();
-    if (m_leaderVersion < m_configuration.version) {
-        question.__set_configuration(m_encodedConfiguration);
-    }
     wire::peer_message message;
     message.__set_probe(question);
     return message;
@@ -288,9 +291,7 @@
     for (const std::string &address : status.members) {
         m_members.try_emplace(address, time_point{});
     }
-    if (status.__isset.configuration) {
-        m_configurationTold(status.configuration);
-    }
+    m_puller.offer(m_askedMember, status.configurationVersion);
     if (!status.leaderAddress.empty() && status.leaderAddress != m_settings.peerAddress) {
         follow(status.leaderAddress, status.leadership);
     }
@@ -338,8 +339,8 @@
     for (const std::string &address : status.members) {
         rememberMember(address);
     }
-    if (status.__isset.configuration) {
-        m_configurationTold(status.configuration);
+    if (m_link) {
+        m_puller.offer(m_link->address(), status.configurationVersion);
     }
     const auto stalled = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.stalledJournal).count();
     if (!status.leading || status.resigning) {
--- a/src/control/leadership_task.h
+++ b/src/control/leadership_task.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/configuration_puller.h"
 #include "control/control_settings.h"
 #include "control/journal_loader.h"
 #include "control/keyed_follower.h"
@@ -23,9 +24,9 @@
 class leadership_task
 {
 public:
-    /** @param configurationTold called with the operator's record when the leader has a newer one. */
+    /** @param configurationPulled called with the operator's record when another entry host had a newer one than the store has delivered. */
     leadership_task(event_loop &loop, const platform_clients &platform, const control_settings &settings, const peer_settings &peers,
-                    std::function<void(const std::string &)> configurationTold);
+                    std::function<void(const std::string &)> configurationPulled);
     leadership_task(const leadership_task &) = delete;
     leadership_task &operator=(const leadership_task &) = delete;
     ~leadership_task() = default;
@@ -98,7 +99,7 @@
     const control_settings &m_settings;
     const peer_settings &m_peers;
     keyed_follower m_announcements;
-    std::function<void(const std::string &)> m_configurationTold;
+    configuration_puller m_puller;
     queue_configuration m_configuration;
     std::string m_encodedConfiguration;
     std::map<std::int64_t, wave_request> m_waves;
--- /dev/null
+++ b/tests/control/configuration_puller_test.cpp
@@ -0,0 +1,80 @@
+#include "control_fakes.h"
+#include "loop_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace parsleyglade;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *configurationKey = "configuration";
+
+/** Whether the answer to the probe has the operator's record. */
+bool asksForRecord(event_loop &loop, const std::string &leader, bool wantsConfiguration)
+{
+    const control_settings settings = controlSettings(9, freePort());
+    const peer_settings peers = peerSettings(settings);
+    std::optional<bool> hasRecord;
+    std::unique_ptr<peer_link> link;
+    link = std::make_unique<peer_link>(loop, peers, leader, [&](bool isReady) {
+        if (!isReady) {
+            return;
+        }
+        wire::leader_probe question;
+        question.peerAddress = settings.peerAddress;
+        question.wantsConfiguration = wantsConfiguration;
+        wire::peer_message message;
+        message.__set_probe(question);
+        link->request(message, 2s, [&](const outcome<wire::peer_message> &reply) { hasRecord = reply && reply->probeReply.__isset.configuration; });
+    });
+    runUntil(loop, 3s, [&] { return hasRecord.has_value(); });
+    REQUIRE(hasRecord);
+    return *hasRecord;
+}
+
+} // namespace
+
+// Incident CONFIG: each answer to a probe carried the whole configuration, so that a working leader seemed silent over small links.
+TEST_CASE("the answer to a probe has no configuration unless it was asked for", "[configuration]")
+{
+    event_loop loop;
+    control_platform platform(loop);
+    platform.store.put(store_topic::operators, {{configurationKey, "5"}});
+    const control_settings settings = controlSettings(0, freePort());
+    control_daemon leader(loop, platform.clients(), settings, peerSettings(settings));
+    REQUIRE(leader.start());
+    runUntil(loop, 3s, [&] { return leader.leadership().leader() != nullptr && leader.configuration().version == 5; });
+    REQUIRE(leader.configuration().version == 5);
+
+    CHECK_FALSE(asksForRecord(loop, settings.peerAddress, false));
+    CHECK(asksForRecord(loop, settings.peerAddress, true));
+}
+
+TEST_CASE("entry hosts that the store does not serve have the configuration of the others within two seconds", "[configuration]")
+{
+    // One of the two can't read the operators' topic: the leader or its follower.
+    const bool isLeaderCutOff = GENERATE(false, true);
+    event_loop loop;
+    control_platform platform(loop);
+    control_platform cutOff(loop);
+    const control_settings leaderSettings = controlSettings(0, freePort());
+    control_daemon leader(loop, (isLeaderCutOff ? cutOff : platform).clients(), leaderSettings, peerSettings(leaderSettings));
+    REQUIRE(leader.start());
+    runUntil(loop, 3s, [&] { return leader.leadership().leader() != nullptr; });
+
+    wire::batch_record announcement;
+    announcement.peerAddress = leaderSettings.peerAddress;
+    control_platform &followers = isLeaderCutOff ? platform : cutOff;
+    followers.store.put(store_topic::leader, {{"leader", encode(announcement)}});
+    const control_settings followerSettings = controlSettings(1, freePort());
+    control_daemon follower(loop, followers.clients(), followerSettings, peerSettings(followerSettings));
+    REQUIRE(follower.start());
+    runUntil(loop, 3s, [&] { return follower.leadership().isConnected(); });
+    REQUIRE(follower.leadership().isConnected());
+
+    platform.store.put(store_topic::operators, {{configurationKey, "7"}});
+    runUntil(loop, 2s, [&] { return leader.configuration().version == 7 && follower.configuration().version == 7; });
+    CHECK(leader.configuration().version == 7);
+    CHECK(follower.configuration().version == 7);
+}
--- a/tests/control/leadership_test.cpp
+++ b/tests/control/leadership_test.cpp
@@ -1,42 +1,13 @@
 #include "control_fakes.h"
-#include "runtime/event_loop.h"
+#include "loop_fixture.h"
 
-#include <arpa/inet.h>
 #include <catch2/catch.hpp>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 using namespace parsleyglade;
 using namespace std::chrono_literals;
 
 namespace {
 
-/** A loopback port that is free now. */
-std::uint16_t freePort()
-{
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(socket, reinterpret_cast<sockaddr *>(&address), sizeof address);
-    socklen_t size = sizeof address;
-    ::getsockname(socket, reinterpret_cast<sockaddr *>(&address), &size);
-    ::close(socket);
-    return ntohs(address.sin_port);
-}
-
-void runUntil(event_loop &loop, duration limit, const std::function<bool()> &isDone)
-{
-    const auto check = loop.every(5ms, [&] {
-        if (isDone()) {
-            loop.stop();
-        }
-    });
-    const auto end = loop.after(limit, [&] { loop.stop(); });
-    loop.run();
-}
-
 std::unique_ptr<control_daemon> makeNode(event_loop &loop, control_platform &platform, int number, duration journalSilence = control_settings{}.journalSilence,
                                          double processorShare = 1.0)
 {
