Read the newest of large records, and for as long as bytes keep coming

Cause: a read of the store had a limit for the whole answer, 0.6 s beside its wait, whatever its size, and brought every record since the last one, up to 1 MB. On 10 Mbit/s a configuration of 593 KB takes half a second alone; under a storm the read was given up with up to 311 KB received and began anew with the same records and newer ones behind them. Class: a time limit for silence that is applied to size, and a retry that keeps no progress.

Change: store_read_bounds has the size of a read; operators' records are read one at a time, and where an answer does not reach the topic's end the follower loads the newest record of each key in place of reading those in between.

Tried first: the limit alone. Under records of 600 KB each 0.3 s the follower still falls behind by more than two seconds.

Tests: 'a follower on a slow link keeps up with large records that come faster than the link carries them' fails without the jump to the newest; 'an answer that keeps coming is not given up at the time limit of a silent one' fails on the code before; silence and an endless answer are still given up.

--- a/src/control/control_daemon.cpp
+++ b/src/control/control_daemon.cpp
@@ -9,6 +9,17 @@
 // Silence of the leader after which an entry host asks for no new connections.
 constexpr duration readySilence = std::chrono::milliseconds{2500};
 
+// Of the operators' records that one read brings. Far less than a configuration of thousands of routes, so that on a slow link only the
+// newest of several is fetched.
+constexpr std::size_t operatorReadBytes = std::size_t{16} * 1024;
+
+keyed_follower::settings operatorReading()
+{
+    keyed_follower::settings reading;
+    reading.maximumReadBytes = operatorReadBytes;
+    return reading;
+}
+
 } // namespace
 
 control_daemon::control_daemon(event_loop &loop, const platform_clients &platform, control_settings settings, peer_settings peers)
@@ -25,7 +36,7 @@
                    }
                })
     , m_operators(
-          loop, platform.store, store_topic::operators, keyed_follower::settings{}, [this](const store_record &record) { takeOperatorRecord(record); }, [] {})
+          loop, platform.store, store_topic::operators, operatorReading(), [this](const store_record &record) { takeOperatorRecord(record); }, [] {})
 {
 }
 
--- a/src/control/journal_loader.cpp
+++ b/src/control/journal_loader.cpp
@@ -12,6 +12,9 @@
 // After every key of the journal: a page from here on has no records, only the journal's end.
 constexpr const char *afterLastKey = "~";
 
+// While the journal is watched, the size of what is written does not matter.
+constexpr std::size_t watchedBytes = std::size_t{16} * 1024;
+
 /** Whether the record says that its writer has given up the lead. */
 bool hasResigned(const store_record &record)
 {
@@ -56,7 +59,7 @@
         loadPage(); // nobody has ever written
         return;
     }
-    m_store.read(store_topic::journal, m_end - 1, duration::zero(), whileAlive(&journal_loader::takeLastRecord));
+    m_store.read(store_topic::journal, m_end - 1, {duration::zero(), watchedBytes}, whileAlive(&journal_loader::takeLastRecord));
 }
 
 void journal_loader::takeLastRecord(const store_read_result &read)
@@ -77,7 +80,7 @@
 
 void journal_loader::watch()
 {
-    m_store.read(store_topic::journal, m_end, m_silence, whileAlive(&journal_loader::takeWatched));
+    m_store.read(store_topic::journal, m_end, {m_silence, watchedBytes}, whileAlive(&journal_loader::takeWatched));
 }
 
 void journal_loader::takeWatched(const store_read_result &read)
@@ -139,7 +142,7 @@
 
 void journal_loader::catchUp(duration wait)
 {
-    m_store.read(store_topic::journal, m_end, wait, [this, wait, alive = std::weak_ptr<bool>(m_alive)](const store_read_result &read) {
+    m_store.read(store_topic::journal, m_end, {wait}, [this, wait, alive = std::weak_ptr<bool>(m_alive)](const store_read_result &read) {
         if (alive.lock()) {
             takeRead(read, wait > duration::zero());
         }
--- a/src/control/journal_writer.cpp
+++ b/src/control/journal_writer.cpp
@@ -4,6 +4,13 @@
 
 namespace parsleyglade {
 
+namespace {
+
+// Only the first record of what stands at the writer's place is of interest.
+constexpr std::size_t resolvedBytes = std::size_t{16} * 1024;
+
+} // namespace
+
 journal_writer::journal_writer(timer_service &timers, keyed_store &store, const control_settings &settings, std::uint64_t end, std::function<void()> deposed)
     : m_timers(timers)
     , m_store(store)
@@ -77,7 +84,7 @@
         m_deposed();
         return;
     }
-    m_store.read(store_topic::journal, m_end, duration::zero(), [this, alive = std::weak_ptr<bool>(m_alive)](const store_read_result &result) {
+    m_store.read(store_topic::journal, m_end, {duration::zero(), resolvedBytes}, [this, alive = std::weak_ptr<bool>(m_alive)](const store_read_result &result) {
         if (alive.lock()) {
             takeRecords(result);
         }
--- a/src/control/keyed_follower.cpp
+++ b/src/control/keyed_follower.cpp
@@ -104,7 +104,7 @@
 void keyed_follower::readOn()
 {
     m_askedAt = m_timers.now();
-    m_store.read(m_topic, m_next, m_settings.wait, [this, alive = std::weak_ptr<bool>(m_alive)](const store_read_result &result) {
+    m_store.read(m_topic, m_next, {m_settings.wait, m_settings.maximumReadBytes}, [this, alive = std::weak_ptr<bool>(m_alive)](const store_read_result &result) {
         if (alive.lock()) {
             takeRead(result);
         }
@@ -132,10 +132,12 @@
     for (const store_record &record : result.records) {
         report(record);
     }
-    if (result.next >= result.end) {
-        // An answer without records came at the end of its wait; one with records may have been under way since it was asked for.
-        m_currentAsOf = std::max(m_currentAsOf, result.records.empty() ? m_lastContact : m_askedAt);
+    if (result.next < result.end) {
+        load();
+        return;
     }
+    // An answer without records came at the end of its wait; one with records may have been under way since it was asked for.
+    m_currentAsOf = std::max(m_currentAsOf, result.records.empty() ? m_lastContact : m_askedAt);
     m_caughtUp();
     again(m_settings.pause, &keyed_follower::readOn);
 }
--- a/src/control/keyed_follower.h
+++ b/src/control/keyed_follower.h
@@ -11,8 +11,9 @@
 namespace parsleyglade {
 
 /**
- * Follows the newest record of each key of a topic: loads all, then reads on. Loads again after the log has removed records that were
- * not read yet, and then reports keys that have gone meanwhile as removed.
+ * Follows the newest record of each key of a topic: loads all, then reads on. Where more has been written than one read brings, it loads
+ * the newest again in place of reading every record in between, and likewise after the log has removed records that were not read yet.
+ * Keys that have gone meanwhile are then reported as removed.
  */
 class keyed_follower
 {
@@ -21,6 +22,7 @@
     {
         /** How long a read waits for the next record. A connection may go silent for good, so this bounds how late a record can be. */
         duration wait = std::chrono::milliseconds{600};
+        std::size_t maximumReadBytes = store_read_bounds().maximumBytes; /**< Of one read, beside its first record. */
         duration pause{}; /**< Least time between two reads. */
         duration retry = std::chrono::milliseconds{100}; /**< After a read that failed. */
     };
--- a/src/control/keyed_store.h
+++ b/src/control/keyed_store.h
@@ -60,6 +60,13 @@
     unavailable,
 };
 
+/** How a read waits and how much it brings. */
+struct store_read_bounds
+{
+    duration wait{}; /**< Time to wait for the first record when there are none. */
+    std::size_t maximumBytes = std::size_t{1024} * 1024; /**< No further record is added beyond this size; the first one comes in any case. */
+};
+
 struct store_read_result
 {
     store_read_status status = store_read_status::unavailable;
@@ -93,8 +100,8 @@
                         std::function<void(store_append_result)> done)
         = 0;
 
-    /** Reads records at and after the offset. When there are none, waits up to the given time for the first. */
-    virtual void read(store_topic topic, std::uint64_t from, duration wait, std::function<void(store_read_result)> done) = 0;
+    /** Reads records at and after the offset; those beyond the bounds are left for the next read. */
+    virtual void read(store_topic topic, std::uint64_t from, store_read_bounds bounds, std::function<void(store_read_result)> done) = 0;
 
     /** Reads the newest record of each key after the given one; an empty key starts from the first. */
     virtual void newest(store_topic topic, const std::string &afterKey, std::function<void(store_page)> done) = 0;
--- a/src/control/leader_task.cpp
+++ b/src/control/leader_task.cpp
@@ -16,6 +16,15 @@
     return reply;
 }
 
+keyed_follower::settings registryReading(const control_settings &settings)
+{
+    keyed_follower::settings reading;
+    reading.wait = duration::zero();
+    reading.pause = settings.registryPause;
+    reading.retry = settings.storeRetry;
+    return reading;
+}
+
 } // namespace
 
 leader_task::leader_task(event_loop &loop, const platform_clients &platform, const control_settings &settings, control_metrics &metrics,
@@ -29,7 +38,7 @@
     , m_hosts(loop, platform.store, platform.hosts, platform.decoder, settings, *m_scheduler,
               [this] { return hasRight() && journalAge() < m_settings.hostOrderRight; })
     , m_registry(
-          loop, platform.store, store_topic::registry, {duration::zero(), settings.registryPause, settings.storeRetry},
+          loop, platform.store, store_topic::registry, registryReading(settings),
           [this](const store_record &record) { takeRegistryRecord(record); }, [this] { wake(); })
     , m_ended(std::move(ended))
 {
--- a/src/external/http_requester.cpp
+++ b/src/external/http_requester.cpp
@@ -121,6 +121,8 @@
         evhttp_request *request = nullptr; /**< Owned by evhttp; valid while a request is outstanding. */
         std::string reason;
         timer_subscription timeLimit;
+        time_point begun;
+        std::size_t receivedAtCheck = 0; /**< Bytes of the answer when its progress was last checked. */
         time_point idleSince;
         bool broken = false;
     };
@@ -257,19 +259,34 @@
         item->owner->finish(*item, readAnswer(request), !hasSurplus(*item));
     }
 
+    /** Gives the request up unless its answer may go on and has done so since the last check. */
+    void checkProgress(connection &item, duration progressLimit, duration longestTime)
+    {
+        const std::size_t received = receivedBytes(item);
+        const bool goesOn = progressLimit > duration::zero() && received > item.receivedAtCheck && loop.now() - item.begun < longestTime;
+        if (!goesOn) {
+            const std::string bytes = std::to_string(received);
+            finish(item, withoutAnswer(http_delivery::failed, "no whole answer within the time limit, " + bytes + " bytes of it came"), false);
+            return;
+        }
+        item.receivedAtCheck = received;
+        item.timeLimit = loop.after(progressLimit, [this, &item, progressLimit, longestTime] { checkProgress(item, progressLimit, longestTime); });
+    }
+
     void start(connection &item, const outgoing_request &request, evhttp_cmd_type method, std::function<void(http_answer)> done)
     {
         item.done = std::move(done);
         item.reason.clear();
-        item.timeLimit = loop.after(request.timeLimit, [this, &item] {
-            const std::string received = std::to_string(receivedBytes(item));
-            finish(item, withoutAnswer(http_delivery::failed, "no whole answer within the time limit, " + received + " bytes of it came"), false);
+        item.begun = loop.now();
+        item.receivedAtCheck = 0;
+        item.timeLimit = loop.after(request.timeLimit, [this, &item, limit = request.progressLimit, longest = request.longestTime] {
+            checkProgress(item, limit, longest);
         });
 
         // The time limit above also covers answers that trickle; the limit of evhttp only covers silence and must not fire first.
         constexpr std::int64_t microsecondsPerSecond = 1'000'000;
         constexpr std::int64_t marginSeconds = 5;
-        const timeval silence{static_cast<time_t>(request.timeLimit.count() / microsecondsPerSecond + marginSeconds), 0};
+        const timeval silence{static_cast<time_t>(std::max(request.timeLimit, request.progressLimit).count() / microsecondsPerSecond + marginSeconds), 0};
         evhttp_connection_set_timeout_tv(item.handle.get(), &silence);
 
         evhttp_request *outgoing = evhttp_request_new(onAnswer, &item);
--- a/tests/control/keyed_follower_test.cpp
+++ b/tests/control/keyed_follower_test.cpp
@@ -9,6 +9,16 @@
 
 namespace {
 
+keyed_follower::settings followerSettings()
+{
+    keyed_follower::settings settings;
+    settings.wait = 100ms;
+    settings.pause = 10ms;
+    settings.retry = 50ms;
+    settings.maximumReadBytes = 16 * 1024;
+    return settings;
+}
+
 struct follower_fixture
 {
     manual_timer_service timers;
@@ -17,7 +27,7 @@
     keyed_follower follower{timers,
                             store,
                             store_topic::registry,
-                            {100ms, 10ms, 50ms},
+                            followerSettings(),
                             [this](const store_record &record) {
                                 if (record.value.empty()) {
                                     seen.erase(record.key);
@@ -61,3 +71,33 @@
     fixture.timers.advance(300ms);
     CHECK(fixture.seen == std::map<std::string, std::string>{{"a", "1"}, {"c", "1"}});
 }
+
+// Incident CONFIG: on a link of 10 Mbit/s a follower read every one of the configurations that came in quick succession and fell behind.
+TEST_CASE("a follower on a slow link keeps up with large records that come faster than the link carries them", "[store]")
+{
+    constexpr std::size_t recordBytes = 600'000;
+    constexpr std::size_t tenMegabits = 1'250'000;
+    constexpr int recordCount = 30;
+    follower_fixture fixture;
+    fixture.store.bytesPerSecond = tenMegabits;
+    fixture.store.put(store_topic::registry, {{"wave", "first"}});
+    fixture.follower.start();
+    fixture.timers.advance(100ms);
+
+    const auto largeRecord = [](int number) { return std::to_string(number) + std::string(recordBytes, ' '); };
+    for (int number = 0; number < recordCount; ++number) {
+        fixture.store.put(store_topic::registry, {{"large", largeRecord(number)}});
+        if (number == recordCount / 2) {
+            fixture.store.put(store_topic::registry, {{"wave", "second"}});
+        }
+        fixture.timers.advance(300ms);
+        // The record that was written two seconds before, or a newer one, has been reported.
+        constexpr int recordsInBound = 7;
+        if (number > recordsInBound) {
+            REQUIRE(std::stoi(fixture.seen["large"]) >= number - recordsInBound);
+        }
+    }
+    fixture.timers.advance(2s);
+    CHECK(std::stoi(fixture.seen["large"]) == recordCount - 1);
+    CHECK(fixture.seen["wave"] == "second");
+}
--- a/tests/control/memory_store.cpp
+++ b/tests/control/memory_store.cpp
@@ -60,12 +60,23 @@
     later(answerTime, [done, result] { done(result); });
 }
 
-void memory_store::read(store_topic topic, std::uint64_t from, duration wait, std::function<void(store_read_result)> done)
+void memory_store::read(store_topic topic, std::uint64_t from, store_read_bounds bounds, std::function<void(store_read_result)> done)
 {
-    later(answerTime, [this, topic, from, until = m_timers.now() + wait, done = std::move(done)] { answerRead(topic, from, until, done); });
+    later(answerTime, [this, topic, from, until = m_timers.now() + bounds.wait, maximumBytes = bounds.maximumBytes, done = std::move(done)] {
+        answerRead(topic, from, until, maximumBytes, done);
+    });
+}
+
+duration memory_store::transferTime(const std::vector<store_record> &records) const
+{
+    std::size_t bytes = 0;
+    for (const store_record &record : records) {
+        bytes += record.value.size();
+    }
+    return bytesPerSecond == 0 ? duration::zero() : duration(std::chrono::microseconds{bytes * 1'000'000 / bytesPerSecond});
 }
 
-void memory_store::answerRead(store_topic topic, std::uint64_t from, time_point until, std::function<void(store_read_result)> done)
+void memory_store::answerRead(store_topic topic, std::uint64_t from, time_point until, std::size_t maximumBytes, std::function<void(store_read_result)> done)
 {
     const topic_state &state = m_topics[topic];
     store_read_result result;
@@ -81,16 +92,18 @@
         return;
     }
     result.status = store_read_status::ok;
-    for (std::uint64_t offset = from; offset < state.records.size(); ++offset) {
+    std::size_t bytes = 0;
+    for (std::uint64_t offset = from; offset < state.records.size() && bytes < maximumBytes; ++offset) {
         result.records.push_back(state.records[offset]);
+        bytes += state.records[offset].value.size();
     }
-    result.next = std::max<std::uint64_t>(from, state.records.size());
+    result.next = from + result.records.size();
     result.end = state.records.size();
     if (result.records.empty() && m_timers.now() < until) {
-        later(answerTime, [this, topic, from, until, done = std::move(done)] { answerRead(topic, from, until, done); });
+        later(answerTime, [this, topic, from, until, maximumBytes, done = std::move(done)] { answerRead(topic, from, until, maximumBytes, done); });
         return;
     }
-    done(result);
+    later(transferTime(result.records), [done = std::move(done), result] { done(result); });
 }
 
 void memory_store::newest(store_topic topic, const std::string &afterKey, std::function<void(store_page)> done)
@@ -119,7 +132,7 @@
             page.records.push_back(record);
         }
         pagedRecords += page.records.size();
-        done(page);
+        later(transferTime(page.records), [done, page] { done(page); });
     });
 }
 
--- a/tests/control/memory_store.h
+++ b/tests/control/memory_store.h
@@ -26,7 +26,7 @@
 
     void append(store_topic topic, const std::vector<journal_entry> &entries, std::optional<std::uint64_t> expectedEnd,
                 std::function<void(store_append_result)> done) override;
-    void read(store_topic topic, std::uint64_t from, duration wait, std::function<void(store_read_result)> done) override;
+    void read(store_topic topic, std::uint64_t from, store_read_bounds bounds, std::function<void(store_read_result)> done) override;
     void newest(store_topic topic, const std::string &afterKey, std::function<void(store_page)> done) override;
 
     /** Appends at once. */
@@ -41,6 +41,7 @@
     std::deque<append_fault> appendFaults;
     bool isDown = false;
     std::size_t pageSize = 500;
+    std::size_t bytesPerSecond = 0; /**< Rate at which records are delivered; 0 for no limit. */
     std::size_t pagedRecords = 0; /**< Records that newest() has delivered. */
 
 private:
@@ -51,7 +52,8 @@
     };
 
     void later(duration delay, std::function<void()> action);
-    void answerRead(store_topic topic, std::uint64_t from, time_point until, std::function<void(store_read_result)> done);
+    void answerRead(store_topic topic, std::uint64_t from, time_point until, std::size_t maximumBytes, std::function<void(store_read_result)> done);
+    duration transferTime(const std::vector<store_record> &records) const;
 
     timer_service &m_timers;
     std::map<store_topic, topic_state> m_topics;
--- a/tests/external/http_requester_test.cpp
+++ b/tests/external/http_requester_test.cpp
@@ -67,7 +67,11 @@
 
     void answer() const
     {
-        const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    }
+
+    void send(const std::string &text) const
+    {
         REQUIRE(::send(m_connection, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
     }
 
@@ -94,6 +98,8 @@
         request.method = "POST";
         request.body = std::move(body);
         request.timeLimit = timeLimit;
+        request.progressLimit = progressLimit;
+        request.longestTime = longestTime;
         requester.send(request, [this](const http_answer &received) { answer = received; });
     }
 
@@ -118,6 +124,8 @@
     http_requester requester{loop, {}};
     manual_server server;
     std::optional<http_answer> answer;
+    duration progressLimit{};
+    duration longestTime = 5s;
 };
 
 } // namespace
@@ -155,3 +163,54 @@
     }
     CHECK(received < bodyBytes / 2);
 }
+
+// Incident CONFIG: large answers over slow links were given up in the middle and asked for anew, again and again.
+TEST_CASE("an answer that keeps coming is not given up at the time limit of a silent one")
+{
+    constexpr int pieces = 10;
+    requester_fixture fixture;
+    fixture.progressLimit = 60ms;
+    fixture.send(100ms);
+    fixture.run(20ms);
+    fixture.server.accept();
+    REQUIRE(fixture.server.read() > 0);
+    fixture.server.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(pieces) + "\r\n\r\n");
+
+    SECTION("it comes whole")
+    {
+        for (int piece = 0; piece < pieces; ++piece) {
+            fixture.run(30ms);
+            fixture.server.send("x");
+        }
+        fixture.run(30ms);
+        REQUIRE(fixture.answer);
+        CHECK(fixture.answer->delivery == http_delivery::answered);
+        CHECK(fixture.answer->body == std::string(pieces, 'x'));
+    }
+    SECTION("it stops coming")
+    {
+        fixture.run(30ms);
+        fixture.server.send("x");
+        fixture.run(200ms);
+        REQUIRE(fixture.answer);
+        CHECK(fixture.answer->delivery == http_delivery::failed);
+    }
+}
+
+TEST_CASE("an answer that keeps coming is given up after the longest time")
+{
+    requester_fixture fixture;
+    fixture.progressLimit = 60ms;
+    fixture.longestTime = 200ms;
+    fixture.send(100ms);
+    fixture.run(20ms);
+    fixture.server.accept();
+    REQUIRE(fixture.server.read() > 0);
+    fixture.server.send("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n");
+    for (int piece = 0; piece < 10 && !fixture.answer; ++piece) {
+        fixture.server.send("x");
+        fixture.run(30ms);
+    }
+    REQUIRE(fixture.answer);
+    CHECK(fixture.answer->delivery == http_delivery::failed);
+}
--- a/tests/platform/store_contract_test.cpp
+++ b/tests/platform/store_contract_test.cpp
@@ -26,7 +26,7 @@
 
     store_read_result read(std::uint64_t from, duration wait = 0ms)
     {
-        return *runUntilDone<store_read_result>(loop, [&](auto done) { store.read(store_topic::journal, from, wait, std::move(done)); });
+        return *runUntilDone<store_read_result>(loop, [&](auto done) { store.read(store_topic::journal, from, {wait}, std::move(done)); });
     }
 
     store_page newest(const std::string &after = {})
