Answer for jobs only while the lead is confirmed, and learn of a successor from peers

And it could not learn that it was deposed: an append without an answer was repeated without a look at what stands in its place, an announcement of another leader was ignored while leading, and nobody asks a leader's peers.

The writer reads its place after an append without an answer. A leader without confirmation asks its peers whom they follow, and ends and follows when a newer lead is announced. Its own silence counts for readiness and for refusals.

Tests (deposed_leader_test.cpp): all three cases fail with the guard and the learning taken out (410 for the accepted job, leader never ends), pass now.

--- a/src/control/control_settings.h
+++ b/src/control/control_settings.h
@@ -29,6 +29,8 @@
     duration configurationPatience
         = std::chrono::milliseconds{1000}; /**< A configuration that a peer has and the store has not delivered for this long is asked of the peer. */
     duration configurationPullLimit = std::chrono::seconds{5}; /**< An unanswered request for the configuration is made again after this time. */
+    duration answerRight = std::chrono::milliseconds{800}; /**< A leader says that a job is unknown, or how many wait, from its own state for this
+                                                                long after the journal last confirmed the lead; at most journalSilence. */
     duration keepAlive = std::chrono::milliseconds{200}; /**< The leader appends at least this often. */
     duration stalledJournal = std::chrono::milliseconds{700}; /**< A leader whose journal confirms nothing for this long is suspect. */
     duration claimSpread = std::chrono::milliseconds{200}; /**< Random delay before the first claim of all. */
--- a/src/control/journal_writer.cpp
+++ b/src/control/journal_writer.cpp
@@ -66,15 +66,22 @@
         return;
     case store_append_status::unknown:
         m_mayStand = true;
-        break;
+        noteFailure(result.reason);
+        again(&journal_writer::look);
+        return;
     case store_append_status::refused:
         break;
     }
+    noteFailure(result.reason);
+    again(&journal_writer::send);
+}
+
+void journal_writer::noteFailure(const std::string &reason)
+{
     if (!m_isStalled) {
         m_isStalled = true;
-        m_log.warning("an append failed", {{"reason", result.reason}, {"end", m_end}, {"sequence", m_sequence}});
+        m_log.warning("an append failed", {{"reason", reason}, {"end", m_end}, {"sequence", m_sequence}});
     }
-    again(&journal_writer::send);
 }
 
 void journal_writer::resolve(const std::string &reason)
@@ -84,6 +91,12 @@
         m_deposed();
         return;
     }
+    look();
+}
+
+/** Reads what stands at this writer's place: a small answer comes through where the repeated append might not. */
+void journal_writer::look()
+{
     m_store.read(store_topic::journal, m_end, {duration::zero(), resolvedBytes}, [this, alive = std::weak_ptr<bool>(m_alive)](const store_read_result &result) {
         if (alive.lock()) {
             takeRecords(result);
@@ -93,11 +106,12 @@
 
 void journal_writer::takeRecords(const store_read_result &result)
 {
-    if (result.status == store_read_status::unavailable) {
+    const bool isFree = result.status == store_read_status::ok && result.records.empty();
+    if (result.status == store_read_status::unavailable || isFree) {
         again(&journal_writer::send);
         return;
     }
-    if (result.status == store_read_status::ok && !result.records.empty()) {
+    if (result.status == store_read_status::ok) {
         const store_record &first = result.records.front();
         const auto header = decode<wire::batch_record>(first.value);
         const bool isOurs = first.offset == m_end && first.key == batchKey && header && header->writer == static_cast<std::int64_t>(m_settings.incarnation)
--- a/src/control/journal_writer.h
+++ b/src/control/journal_writer.h
@@ -13,8 +13,8 @@
 
 /**
  * Appends the leader's batches, one at a time, each on the condition that the journal ends where this writer left it. Only one of two
- * writers can meet the condition, so a conflict means that another entry host leads. An append without an answer is repeated with the
- * same condition; a conflict is then resolved by reading whose record stands there.
+ * writers can meet the condition, so a conflict means that another entry host leads. After an append without an answer the writer reads
+ * whose record stands at its place, and repeats the append with the same condition where there is none.
  */
 class journal_writer
 {
@@ -41,7 +41,9 @@
 private:
     void send();
     void take(const store_append_result &result);
+    void noteFailure(const std::string &reason);
     void resolve(const std::string &reason);
+    void look();
     void takeRecords(const store_read_result &result);
     void succeed(std::uint64_t offset);
     void again(void (journal_writer::*step)());
--- a/src/control/leader_task.cpp
+++ b/src/control/leader_task.cpp
@@ -1,5 +1,6 @@
 #include "control/leader_task.h"
 
+#include <algorithm>
 #include <type_traits>
 
 namespace parsleyglade {
@@ -63,6 +64,9 @@
     for (const auto &[token, reply] : m_calls) {
         reply(withVerdict(wire::work_verdict::undecided));
     }
+    for (const unproven_call &waiting : m_unproven) {
+        waiting.reply(withVerdict(wire::work_verdict::not_leading));
+    }
 }
 
 void leader_task::setConfiguration(const queue_configuration &configuration)
@@ -83,7 +87,39 @@
         reply(withVerdict(wire::work_verdict::not_leading));
         return;
     }
+    if (!needsProof(call)) {
+        handOn(call, std::move(reply));
+        return;
+    }
+    if (hasRight()) {
+        m_unproven.push_back({call, std::move(reply), m_loop.now()});
+        wake();
+        return;
+    }
+    reply(withVerdict(wire::work_verdict::not_leading));
+}
+
+/** A successor may have accepted and started jobs unknown here when the journal has not confirmed the lead for a while. */
+bool leader_task::needsProof(const wire::work_call &call) const
+{
+    const bool isPending = call.kind == wire::work_call_kind::count_pending;
+    const bool isAboutKnownJob = !isPending && m_scheduler->findJob(call.job) != nullptr;
+    return journalAge() >= (isAboutKnownJob ? m_settings.scheduling.leaderRight : m_settings.answerRight);
+}
+
+void leader_task::handOnProven()
+{
+    const time_point proven = m_journal.lastConfirmed();
+    const auto end = std::find_if(m_unproven.begin(), m_unproven.end(), [proven](const unproven_call &waiting) { return waiting.takenAt > proven; });
+    std::vector<unproven_call> ready(std::make_move_iterator(m_unproven.begin()), std::make_move_iterator(end));
+    m_unproven.erase(m_unproven.begin(), end);
+    for (unproven_call &waiting : ready) {
+        handOn(waiting.call, std::move(waiting.reply));
+    }
+}
 
+void leader_task::handOn(const wire::work_call &call, reply_function reply)
+{
     const call_token token = m_nextToken++;
     m_calls[token] = std::move(reply);
     const wall_time now = m_loop.wallNow();
@@ -113,6 +149,11 @@
     wake();
 }
 
+void leader_task::depose(const std::string &successor)
+{
+    end("another entry host leads: " + successor);
+}
+
 bool leader_task::isResigning() const
 {
     return m_isResigning;
@@ -195,13 +236,17 @@
     auto batch = m_scheduler->takeBatch();
     if (!batch) {
         if (journalAge() >= m_settings.keepAlive) {
-            m_journal.append(header, {}, [this](std::uint64_t) { wake(); });
+            m_journal.append(header, {}, [this](std::uint64_t) {
+                handOnProven();
+                wake();
+            });
         }
         return;
     }
     m_journal.append(header, std::move(batch->entries), [this, number = batch->number, begun = m_loop.now()](std::uint64_t) {
         m_metrics.countAppend(m_loop.now() - begun);
         m_scheduler->confirmBatch(number, m_loop.now());
+        handOnProven();
         wake();
     });
 }
--- a/src/control/leader_task.h
+++ b/src/control/leader_task.h
@@ -42,6 +42,9 @@
     /** Hands the right to lead over: records it, and ends. */
     void resign();
 
+    /** Another entry host has taken the lead over. */
+    void depose(const std::string &successor);
+
     bool isResigning() const;
 
     /** Time since the last append that the journal confirmed. */
@@ -50,6 +53,17 @@
     const scheduler &state() const;
 
 private:
+    /** A call that is answered when the journal has confirmed the lead once more. */
+    struct unproven_call
+    {
+        wire::work_call call;
+        reply_function reply;
+        time_point takenAt{};
+    };
+
+    bool needsProof(const wire::work_call &call) const;
+    void handOn(const wire::work_call &call, reply_function reply);
+    void handOnProven();
     void wake();
     void run();
     void writeBatch();
@@ -71,6 +85,7 @@
     keyed_follower m_registry;
     std::function<void()> m_ended;
     std::map<call_token, reply_function> m_calls;
+    std::vector<unproven_call> m_unproven; /**< In order of arrival. */
     call_token m_nextToken = 1;
     std::set<std::string> m_malformedEntries;
     timer_subscription m_heartbeat;
--- a/src/control/leadership_claims.cpp
+++ b/src/control/leadership_claims.cpp
@@ -132,6 +132,9 @@
     answerHeldProbes();
     m_lastHealthy = m_loop.now();
     m_nextClaim = m_loop.now() + m_settings.claimPause;
+    if (const auto successor = std::exchange(m_successor, std::nullopt)) {
+        follow(successor->address, successor->fence);
+    }
 }
 
 } // namespace parsleyglade
--- a/src/control/leadership_task.cpp
+++ b/src/control/leadership_task.cpp
@@ -112,12 +112,19 @@
 
 bool leadership_task::isConnected() const
 {
-    return m_leader || (m_link && m_link->isReady());
+    if (m_leader) {
+        return m_leader->journalAge() < m_settings.scheduling.leaderRight;
+    }
+    return m_link && m_link->isReady();
 }
 
 duration leadership_task::silence() const
 {
-    return m_leader ? duration::zero() : m_loop.now() - m_lastHealthy;
+    if (m_leader) {
+        const duration age = m_leader->journalAge();
+        return age > m_settings.stalledJournal ? age : duration::zero();
+    }
+    return m_loop.now() - m_lastHealthy;
 }
 
 std::int64_t leadership_task::leaderConfigurationVersion() const
@@ -164,7 +171,12 @@
 
 void leadership_task::follow(const std::string &address, std::int64_t fence)
 {
-    if (m_leader || fence < m_followedFence) {
+    if (fence < m_followedFence || (m_leader && fence == m_followedFence)) {
+        return;
+    }
+    if (m_leader) {
+        m_successor = announced_leader{address, fence};
+        m_leader->depose(address);
         return;
     }
     m_followedFence = fence;
@@ -299,7 +311,14 @@
 
 void leadership_task::probe()
 {
-    if (m_leader || m_isRetired) {
+    if (m_leader) {
+        // The store may not tell this entry host that another one has taken the lead over.
+        if (silence() > m_settings.suspicion) {
+            askMember();
+        }
+        return;
+    }
+    if (m_isRetired) {
         return;
     }
     if (silence() > m_settings.suspicion) {
--- a/src/control/leadership_task.h
+++ b/src/control/leadership_task.h
@@ -94,6 +94,13 @@
     void beginLeading(std::unique_ptr<scheduler> restored, bool hasResigned, std::uint64_t offset);
     void stopLeading();
 
+    /** Another entry host that is said to lead. */
+    struct announced_leader
+    {
+        std::string address;
+        std::int64_t fence = 0;
+    };
+
     event_loop &m_loop;
     platform_clients m_platform;
     const control_settings &m_settings;
@@ -108,6 +115,7 @@
     std::map<std::string, time_point> m_members; /**< Peer addresses of the entry hosts, and when each was last heard of. */
     std::string m_askedMember;
     std::int64_t m_followedFence = -1;
+    std::optional<announced_leader> m_successor; /**< Who has deposed this entry host; set until it has stopped leading. */
     control_metrics m_metrics;
     std::unique_ptr<leader_task> m_leader;
     std::unique_ptr<journal_loader> m_loader;
--- /dev/null
+++ b/tests/control/deposed_leader_test.cpp
@@ -0,0 +1,111 @@
+#include "control_fakes.h"
+#include "cut_store.h"
+#include "loop_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace parsleyglade;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Two entry hosts with paths of their own to one store; the first one leads. */
+struct pair_fixture
+{
+    pair_fixture()
+        : first(loop, {firstStore, platform.executors, platform.hosts, platform.decoder}, firstSettings, peerSettings(firstSettings))
+        , second(loop, {secondStore, platform.executors, platform.hosts, platform.decoder}, secondSettings, peerSettings(secondSettings))
+    {
+        platform.store.put(store_topic::operators, {{"configuration", "1"}});
+        REQUIRE(first.start());
+        runUntil(loop, 3s, [&] { return first.leadership().leader() != nullptr; });
+        REQUIRE(second.start());
+        runUntil(loop, 3s, [&] { return first.isReady() && second.isReady() && second.leadership().isConnected(); });
+        REQUIRE(first.leadership().leader() != nullptr);
+        REQUIRE(second.isReady());
+    }
+
+    std::optional<work_gateway::result> send(control_daemon &host, const wire::work_call &call, duration limit)
+    {
+        std::optional<work_gateway::result> found;
+        host.gateway().send(call, loop.now() + limit, [&](const work_gateway::result &result) { found = result; });
+        runUntil(loop, limit + 1s, [&] { return found.has_value(); });
+        return found;
+    }
+
+    event_loop loop;
+    control_platform platform{loop};
+    cut_store firstStore{loop, platform.store};
+    cut_store secondStore{loop, platform.store};
+    control_settings firstSettings = controlSettings(0, freePort());
+    control_settings secondSettings = controlSettings(1, freePort());
+    control_daemon first;
+    control_daemon second;
+};
+
+wire::work_call callOf(wire::work_call_kind::type kind, const std::string &job)
+{
+    wire::work_call call;
+    call.kind = kind;
+    call.queue = "queue";
+    call.job = job;
+    return call;
+}
+
+} // namespace
+
+// Incident CONFIG, hungphat-lastworks-grown: an entry host that had lost the lead for ten seconds answered 410 for jobs that its successor
+// had accepted.
+TEST_CASE("a leader that the store does not answer denies no job that its successor has accepted", "[control]")
+{
+    pair_fixture fixture;
+    fixture.firstStore.isCut = true;
+    runUntil(fixture.loop, 5s, [&] { return fixture.second.leadership().leader() != nullptr; });
+    REQUIRE(fixture.second.leadership().leader() != nullptr);
+    const auto accepted = fixture.send(fixture.second, submission("job"), 2s);
+    REQUIRE(accepted);
+    REQUIRE(accepted->reply.verdict == wire::work_verdict::done);
+
+    for (const auto kind : {wire::work_call_kind::query, wire::work_call_kind::cancel}) {
+        const auto answer = fixture.send(fixture.first, callOf(kind, "job"), 3s);
+        REQUIRE(answer);
+        CHECK(answer->reply.verdict != wire::work_verdict::not_found);
+    }
+}
+
+TEST_CASE("a leader that the store does not answer learns from its peers who leads, and passes calls on", "[control]")
+{
+    pair_fixture fixture;
+    fixture.firstStore.isCut = true;
+    runUntil(fixture.loop, 5s, [&] { return fixture.second.leadership().leader() != nullptr; });
+    runUntil(fixture.loop, 3s, [&] { return fixture.first.leadership().leader() == nullptr && fixture.first.leadership().isConnected(); });
+    CHECK(fixture.first.leadership().leader() == nullptr);
+    const auto accepted = fixture.send(fixture.first, submission("job"), 2s);
+    REQUIRE(accepted);
+    CHECK(accepted->missing == work_gateway::gap::none);
+    CHECK(accepted->reply.verdict == wire::work_verdict::done);
+}
+
+TEST_CASE("a count of waiting jobs and an unknown job are told only by a leader that the journal confirms", "[control]")
+{
+    pair_fixture fixture;
+    const auto pending = callOf(wire::work_call_kind::count_pending, {});
+    const auto unknown = callOf(wire::work_call_kind::query, "unknown");
+    fixture.firstStore.isCut = true;
+    fixture.secondStore.isCut = true;
+    runUntil(fixture.loop, fixture.firstSettings.answerRight + 200ms, [] { return false; });
+    const auto wait = GENERATE(500ms, 6s);
+    runUntil(fixture.loop, wait, [] { return false; });
+    for (const wire::work_call &call : {pending, unknown}) {
+        const auto answer = fixture.send(fixture.first, call, 300ms);
+        REQUIRE(answer);
+        CHECK(answer->missing != work_gateway::gap::none);
+    }
+
+    fixture.firstStore.isCut = false;
+    runUntil(fixture.loop, 3s, [&] { return fixture.first.isReady(); });
+    const auto answer = fixture.send(fixture.first, unknown, 2s);
+    REQUIRE(answer);
+    CHECK(answer->missing == work_gateway::gap::none);
+    CHECK(answer->reply.verdict == wire::work_verdict::not_found);
+}
