Keep a lasting task whose repeated start order could not be sent

What callers saw: AVAIL, a task of a step with a budget stopped at work while others of its step were away.

Cause: the first start order got no answer and was carried out. Its repetition met a closed connection ('not-sent'), which was taken for a rejection: the run was stopped, though an order that was not sent says nothing of the one before. Change: such a run is unanswered again; the next look or repetition settles it.

Test: 'a lasting task whose repeated start can't be sent is not stopped' fails before.

--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -154,6 +154,14 @@
         run.since = now;
         executor.nextLook = std::min(executor.nextLook, now);
         return;
+    case order_result::not_sent:
+        if (run.mayArriveLate) {
+            // Says nothing of the earlier order, which may have been carried out: the task may be at work.
+            run.phase = run_phase::unanswered;
+            run.since = now;
+            return;
+        }
+        break;
     default:
         break;
     }
--- a/tests/scheduler/evacuation_test.cpp
+++ b/tests/scheduler/evacuation_test.cpp
@@ -68,6 +68,29 @@
     CHECK(cluster.stops.empty());
 }
 
+// Found by late-reborn seed 2 of austral-pistas (AVAIL): the repeated order could not be sent, and the task, which the first order had
+// started without an answer, was stopped at work while others of its step were away.
+TEST_CASE("a lasting task whose repeated start can't be sent is not stopped", "[recovery]")
+{
+    manual_cluster cluster;
+    cluster.addExecutor("a");
+    cluster.submit("job", {lastingStep(1)});
+    cluster.startResult = order_result::unanswered;
+    cluster.settle();
+    REQUIRE(cluster.starts.size() == 1);
+    cluster.startResult = order_result::not_sent;
+    cluster.settle(400ms);
+    REQUIRE(cluster.starts.size() == 2);
+    cluster.settle(400ms);
+    CHECK(cluster.stops.empty());
+
+    cluster.startResult = order_result::done;
+    cluster.settle(400ms);
+    CHECK(cluster.stops.empty());
+    REQUIRE(cluster.state.findExecutor("a")->runs.size() == 1);
+    CHECK(cluster.starts.back().run == 1);
+}
+
 // Found by trouble-2 of austral-pistas: a new leader waited 12.5 s for late orders of a task that had long been at work.
 TEST_CASE("a lasting task whose executor is gone starts again soon after a change of leader", "[recovery]")
 {
--- a/tests/scheduler/manual_cluster.h
+++ b/tests/scheduler/manual_cluster.h
@@ -73,7 +73,7 @@
         state.submit(1, job, work, wall());
     }
 
-    /** Lets time pass and everything be decided and recorded; start orders are answered as done. */
+    /** Lets time pass and everything be decided and recorded; start orders are answered with startResult. */
     void settle(duration time = std::chrono::milliseconds{20})
     {
         now += time;
@@ -85,7 +85,7 @@
             for (scheduler_action &action : state.takeActions()) {
                 if (const auto *start = std::get_if<start_order>(&action)) {
                     starts.push_back(*start);
-                    state.startAnswered(*start, {order_result::done, clock()}, now, now);
+                    state.startAnswered(*start, {startResult, startResult == order_result::done ? clock() : 0}, now, now);
                 } else if (const auto *stop = std::get_if<stop_order>(&action)) {
                     stops.push_back(*stop);
                 }
@@ -105,6 +105,7 @@
 
     time_point now{std::chrono::seconds{100}};
     scheduler state{scheduler_settings{}};
+    order_result startResult = order_result::done;
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
 };
