Count a job as waiting until one of its tasks is known to have started

Cause, from the code and the test: a new leader took each restored job with a recorded run for one that has begun. The run is recorded before its order is sent, and the order may get no answer. A new leader may count a job too many until its first look at the executors.

Test: 'a successor counts a job as waiting until one of its tasks is known to have started' fails before (0 for 1), passes now.

--- a/src/scheduler/job_records.cpp
+++ b/src/scheduler/job_records.cpp
@@ -159,6 +159,7 @@
         task.failures = record.failures;
         task.checkpoint = record.checkpoint;
         task.done = record.done;
+        job.hasBegun = job.hasBegun || record.done || record.failures > 0 || !record.checkpoint.empty();
         step.doneCount += record.done ? 1 : 0;
         for (const wire::run_record &entry : record.runs) {
             scheduled_run &run = task.runs.emplace_back();
@@ -166,6 +167,7 @@
             run.executor = entry.executor;
             run.boot = entry.boot;
             run.isConfirmed = entry.confirmed;
+            job.hasBegun = job.hasBegun || entry.confirmed;
             run.phase = run_phase::restored;
             run.orderAge = std::chrono::milliseconds{entry.orderAgeMilliseconds};
         }
--- a/src/scheduler/scheduled_job.h
+++ b/src/scheduler/scheduled_job.h
@@ -81,6 +81,7 @@
     std::string id;
     wire::work_record work;
     work_state state = work_state::queued;
+    bool hasBegun = false; /**< A task is known to have started. */
     std::vector<scheduled_occurrence> occurrences;
     duration chain{}; /**< Longest chain of declared run times. */
     wall_time finishedAt{};
--- a/src/scheduler/scheduler_ends.cpp
+++ b/src/scheduler/scheduler_ends.cpp
@@ -25,6 +25,7 @@
 
 void scheduler::applyEnd(scheduled_job &job, const task_id &which, scheduled_task &task, const finished_entry &entry, executor_state &executor, time_point now)
 {
+    job.hasBegun = true;
     const wire::step_record &description = job.work.steps[static_cast<std::size_t>(which.step)];
     scheduled_step &step = job.occurrences[static_cast<std::size_t>(which.occurrence)].steps[static_cast<std::size_t>(which.step)];
     if (!entry.checkpoint.empty()) {
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -39,6 +39,7 @@
 void scheduler::confirmRun(scheduled_job &job, const task_id &which, scheduled_run &run)
 {
     run.isConfirmed = true;
+    job.hasBegun = true;
     if (job.work.steps[static_cast<std::size_t>(which.step)].longRunning) {
         markChanged(job);
     }
--- a/tests/scheduler/handover_test.cpp
+++ b/tests/scheduler/handover_test.cpp
@@ -115,3 +115,39 @@
     REQUIRE(started);
     CHECK(*started >= takenOver + scheduler_settings{}.lateOrderLimit);
 }
+
+// Incident CONFIG, MIXED: a new leader took every job that had been ordered for one that had begun, and said that almost none waited.
+TEST_CASE("a successor counts a job as waiting until one of its tasks is known to have started")
+{
+    handover scene;
+    scene.startUnanswered();
+    scheduler successor{scheduler_settings{}};
+    successor.setConfiguration(scene.first.state.configuration());
+    for (const auto &[key, value] : scene.journal) {
+        REQUIRE(successor.restore(key, value));
+    }
+    const time_point now = scene.first.now + 2s;
+    successor.lead(2, now, scene.first.wall());
+    const auto countPending = [&] {
+        std::int64_t pending = -1;
+        successor.takeActions();
+        successor.countPending(1, "queue");
+        for (const scheduler_action &action : successor.takeActions()) {
+            if (const auto *answer = std::get_if<call_answer>(&action)) {
+                pending = answer->reply.pending;
+            }
+        }
+        return pending;
+    };
+    CHECK(countPending() == 1);
+
+    look_answer answer;
+    answer.result = order_result::done;
+    answer.boot = 1;
+    answer.clockMilliseconds = 1'000;
+    answer.running.push_back({{"job", 0, 0, 0}, 1, {}, 10, 0});
+    successor.updateExecutor(scene.first.state.findExecutor("dark")->description, now);
+    REQUIRE(successor.takeLook("dark", now + 1s));
+    successor.lookAnswered("dark", answer, now + 1s, now + 1s);
+    CHECK(countPending() == 0);
+}
