Deny a queue only while the configuration is known to be the newest

Cause: the answer 404 came from the configuration in force whatever its age; only a leader known to have a newer one held it back. Same class as 410 from a leader without confirmation: a denial from state of unknown age. Change: control_daemon::findQueue tells a missing queue from one that is not known to be missing. The configuration counts as current since the last read that reached the operators' topic's end, or since the leader's word, which now has its own age (leader_status).

Test: 'an entry host denies a queue only while its configuration is known to be the newest'; there was no such state before, the code answered 404 in all of it.

--- a/idl/parsleyglade.thrift
+++ b/idl/parsleyglade.thrift
@@ -366,6 +366,7 @@
     6: list<string> members        // peer addresses of the entry hosts that follow the leader
     7: i64 leadership              // fencing token of that leader
     8: optional binary configuration   // the operator's record, where it was asked for and the asker has an older version
+    9: i64 configurationAgeMilliseconds   // since that version was last known to be the newest
 }
 
 // One frame between entry hosts. Exactly one of the optional fields is set.
--- a/src/control/control_daemon.cpp
+++ b/src/control/control_daemon.cpp
@@ -36,7 +36,8 @@
                    }
                })
     , m_operators(
-          loop, platform.store, store_topic::operators, operatorReading(), [this](const store_record &record) { takeOperatorRecord(record); }, [] {})
+          loop, platform.store, store_topic::operators, operatorReading(), [this](const store_record &record) { takeOperatorRecord(record); },
+          [this] { m_leadership.confirmConfiguration(m_operators.currentAsOf()); })
 {
 }
 
@@ -60,9 +61,19 @@
     return m_configuration;
 }
 
-duration control_daemon::configurationAge() const
+queue_lookup control_daemon::findQueue(std::string_view host, std::string_view path) const
 {
-    return m_loop.now() - m_operators.currentAsOf();
+    if (m_configuration.version == 0) {
+        return {queue_lookup::finding::unconfigured};
+    }
+    if (const queue_policy *queue = m_configuration.match(host, path)) {
+        return {queue_lookup::finding::found, queue};
+    }
+    if (m_leadership.leaderConfigurationVersion() > m_configuration.version) {
+        return {queue_lookup::finding::behind};
+    }
+    const bool isCurrent = m_leadership.configurationAge() < m_settings.configurationBound;
+    return {isCurrent ? queue_lookup::finding::missing : queue_lookup::finding::uncertain};
 }
 
 leadership_task &control_daemon::leadership()
@@ -89,7 +100,7 @@
     metrics.push_back(
         gauge("parsleyglade_configuration_bytes", "Size of the operator's record in force.", static_cast<double>(m_configurationBytes)));
     metrics.push_back(gauge("parsleyglade_configuration_age_seconds", "Time since the configuration in force was last known to be the newest.",
-                            toSeconds(configurationAge())));
+                            toSeconds(m_leadership.configurationAge())));
     metrics.push_back(
         gauge("parsleyglade_log_lines_left_out", "Log lines left out over the rate or for a slow reader.", static_cast<double>(leftOutLogLines())));
     if (leader != nullptr) {
@@ -143,7 +154,7 @@
         return; // loaded again
     }
     const auto decodeTime = std::chrono::duration_cast<std::chrono::milliseconds>(m_loop.now() - begun);
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(configurationAge());
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_leadership.configurationAge());
     m_log.info("configuration in force",
                {{"version", configuration->version},
                 {"source", source},
--- a/src/control/control_daemon.h
+++ b/src/control/control_daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/leadership_task.h"
+#include "control/queue_lookup.h"
 #include "control/work_gateway.h"
 #include "transport/peer_server.h"
 
@@ -25,8 +26,8 @@
 
     const queue_configuration &configuration() const;
 
-    /** Time since the configuration in force was last known to be the newest. */
-    duration configurationAge() const;
+    /** The queue of a request by its host and path. */
+    queue_lookup findQueue(std::string_view host, std::string_view path) const;
 
     leadership_task &leadership();
     work_gateway &gateway();
@@ -42,7 +43,7 @@
     void takeWave(const store_record &record);
     void takeConfiguration(const std::string &encoded, std::string_view source);
 
-    const event_loop &m_loop;
+    event_loop &m_loop;
     const directory_decoder &m_decoder;
     control_settings m_settings;
     peer_settings m_peers;
--- a/src/control/control_settings.h
+++ b/src/control/control_settings.h
@@ -26,6 +26,7 @@
     duration probeLimit = std::chrono::milliseconds{700}; /**< An unanswered probe counts as failed after this time. */
     duration suspicion = std::chrono::milliseconds{900}; /**< Silence of the leader after which its journal is watched. */
     duration journalSilence = std::chrono::milliseconds{800}; /**< A journal that gets no record for this long has no leader. */
+    duration configurationBound = std::chrono::milliseconds{2000}; /**< A published configuration is in force everywhere within this time. */
     duration configurationPatience
         = std::chrono::milliseconds{1000}; /**< A configuration that a peer has and the store has not delivered for this long is asked of the peer. */
     duration configurationPullLimit = std::chrono::seconds{5}; /**< An unanswered request for the configuration is made again after this time. */
--- a/src/control/leadership_task.cpp
+++ b/src/control/leadership_task.cpp
@@ -53,6 +53,16 @@
     }
 }
 
+void leadership_task::confirmConfiguration(time_point currentAsOf)
+{
+    m_configurationCurrentAsOf = std::max(m_configurationCurrentAsOf, currentAsOf);
+}
+
+duration leadership_task::configurationAge() const
+{
+    return m_loop.now() - m_configurationCurrentAsOf;
+}
+
 void leadership_task::setWave(const wave_request &request)
 {
     m_waves[request.wave] = request;
@@ -228,6 +238,7 @@
     status.resigning = m_leader && m_leader->isResigning();
     status.journalAgeMilliseconds = m_leader ? std::chrono::duration_cast<std::chrono::milliseconds>(m_leader->journalAge()).count() : 0;
     status.configurationVersion = m_configuration.version;
+    status.configurationAgeMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(configurationAge()).count();
     status.leadership = m_followedFence;
     if (m_leader) {
         status.leaderAddress = m_settings.peerAddress;
@@ -285,6 +296,7 @@
         next = m_members.begin();
     }
     m_askedMember = next->first;
+    m_inquiredAt = m_loop.now();
     const auto ask = [this](bool isReady) {
         if (isReady) {
             m_inquiry->request(makeProbe(), m_settings.probeLimit, [this](const outcome<wire::peer_message> &reply) { takeMemberReply(reply); });
@@ -294,6 +306,15 @@
     m_inquiryLimit = m_loop.after(m_settings.probeLimit, [this] { m_loop.post([old = std::shared_ptr<peer_link>(std::move(m_inquiry))] {}); });
 }
 
+/** Learns from another entry host that there is a newer configuration, or that there was none. */
+void leadership_task::compareConfiguration(const std::string &address, const wire::leader_status &status, time_point askedAt)
+{
+    m_puller.offer(address, status.configurationVersion);
+    if (status.configurationVersion == m_configuration.version) {
+        confirmConfiguration(askedAt - std::chrono::milliseconds(status.configurationAgeMilliseconds));
+    }
+}
+
 void leadership_task::takeMemberReply(const outcome<wire::peer_message> &reply)
 {
     if (!reply || !reply->__isset.probeReply) {
@@ -303,7 +324,7 @@
     for (const std::string &address : status.members) {
         m_members.try_emplace(address, time_point{});
     }
-    m_puller.offer(m_askedMember, status.configurationVersion);
+    compareConfiguration(m_askedMember, status, m_inquiredAt);
     if (!status.leaderAddress.empty() && status.leaderAddress != m_settings.peerAddress) {
         follow(status.leaderAddress, status.leadership);
     }
@@ -359,7 +380,7 @@
         rememberMember(address);
     }
     if (m_link) {
-        m_puller.offer(m_link->address(), status.configurationVersion);
+        compareConfiguration(m_link->address(), status, m_probeSentAt);
     }
     const auto stalled = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.stalledJournal).count();
     if (!status.leading || status.resigning) {
--- a/src/control/leadership_task.h
+++ b/src/control/leadership_task.h
@@ -37,6 +37,12 @@
         @param encoded the operator's record, for entry hosts that can't read it. */
     void setConfiguration(const queue_configuration &configuration, std::string encoded);
 
+    /** The configuration in force was the newest at this time. */
+    void confirmConfiguration(time_point currentAsOf);
+
+    /** Time since the configuration in force was last known to be the newest, from the store or a leader that knew. */
+    duration configurationAge() const;
+
     /** A maintenance wave that the operator asked for. */
     void setWave(const wave_request &request);
 
@@ -78,6 +84,7 @@
     wire::leader_status statusFor(const wire::leader_probe &question);
     wire::peer_message makeProbe() const;
     void probe();
+    void compareConfiguration(const std::string &address, const wire::leader_status &status, time_point askedAt);
     void takeProbeReply(const outcome<wire::peer_message> &reply);
     void askMember();
     void takeMemberReply(const outcome<wire::peer_message> &reply);
@@ -109,6 +116,7 @@
     configuration_puller m_puller;
     queue_configuration m_configuration;
     std::string m_encodedConfiguration;
+    time_point m_configurationCurrentAsOf{};
     std::map<std::int64_t, wave_request> m_waves;
     std::unique_ptr<peer_link> m_link;
     std::unique_ptr<peer_link> m_inquiry; /**< To another entry host, while the leader is silent. */
@@ -131,6 +139,7 @@
     bool m_hasEverFollowed = false;
     std::vector<held_probe> m_heldProbes; /**< While this entry host leads: answered at intervals, and when it leads no more. */
     time_point m_probeSentAt{};
+    time_point m_inquiredAt{};
     timer_subscription m_heldProbeTimer;
     timer_subscription m_probes;
     timer_subscription m_claimTimer;
--- a/src/control/node_settings.cpp
+++ b/src/control/node_settings.cpp
@@ -42,7 +42,7 @@
     json_checker checker(*document, failures);
     checker.checkObject({"entryHost", "dataCentre", "region", "callerAddress", "readinessAddress", "peerAddress", "storeAddress", "sharedKey",
                          "gracePeriodSeconds", "maximumLeaseMilliseconds", "hostOrderLeaseMilliseconds"},
-                        {"hostServiceAddress", "adviceAddress", "metricsAddress", "logLevel", "processorShare"});
+                        {"hostServiceAddress", "adviceAddress", "metricsAddress", "logLevel", "processorShare", "configurationBoundMilliseconds"});
 
     node_settings settings;
     settings.entryHost = checker.member("entryHost").identifier(maximumName);
@@ -60,6 +60,10 @@
     settings.gracePeriod = secondsOf(checker.member("gracePeriodSeconds").number(0, maximumSeconds));
     settings.maximumLease = secondsOf(checker.member("maximumLeaseMilliseconds").number(1, maximumMilliseconds) / millisecondsPerSecond);
     settings.hostOrderLease = secondsOf(checker.member("hostOrderLeaseMilliseconds").number(0, maximumMilliseconds) / millisecondsPerSecond);
+    if (checker.has("configurationBoundMilliseconds")) {
+        settings.configurationBound
+            = secondsOf(checker.member("configurationBoundMilliseconds").number(1, maximumMilliseconds) / millisecondsPerSecond);
+    }
     if (checker.has("processorShare")) {
         settings.processorShare = checker.member("processorShare").number(minimumProcessorShare, maximumProcessorShare);
     }
--- a/src/control/node_settings.h
+++ b/src/control/node_settings.h
@@ -25,6 +25,7 @@
     duration gracePeriod{}; /**< From the signal to stop to the forced end. */
     duration maximumLease{}; /**< Executors shorten longer leases to this. */
     duration hostOrderLease{}; /**< Least time between orders for one host by different holders. */
+    duration configurationBound = control_settings{}.configurationBound; /**< A published configuration is in force everywhere within this time. */
     double processorShare = 1.0; /**< Cores that this entry host may use; those with little lead only when no other does. */
     log_level logLevel = log_level::info;
 };
--- /dev/null
+++ b/src/control/queue_lookup.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "scheduler/queue_configuration.h"
+
+namespace parsleyglade {
+
+/** What an entry host knows about the queue of a request. */
+struct queue_lookup
+{
+    enum class finding {
+        found,
+        missing, /**< The newest configuration has no such queue. */
+        behind, /**< The leader has a newer configuration, which may have it. */
+        uncertain, /**< The configuration in force is not known to be the newest, and a newer one may have it. */
+        unconfigured, /**< There is no configuration yet. */
+    };
+
+    finding found = finding::unconfigured;
+    const queue_policy *queue = nullptr; /**< When found; valid until the configuration changes. */
+};
+
+} // namespace parsleyglade
--- a/tests/control/configuration_puller_test.cpp
+++ b/tests/control/configuration_puller_test.cpp
@@ -1,4 +1,5 @@
 #include "control_fakes.h"
+#include "cut_store.h"
 #include "loop_fixture.h"
 
 #include <catch2/catch.hpp>
@@ -78,3 +79,36 @@
     CHECK(leader.configuration().version == 7);
     CHECK(follower.configuration().version == 7);
 }
+
+// Incident CONFIG: an entry host whose reads of the store failed for long answered 404 for queues that had been added meanwhile.
+TEST_CASE("an entry host denies a queue only while its configuration is known to be the newest", "[configuration]")
+{
+    event_loop loop;
+    control_platform platform(loop);
+    cut_store path(loop, platform.store);
+    platform.store.put(store_topic::operators, {{configurationKey, "1"}});
+    control_settings leaderSettings = controlSettings(0, freePort());
+    control_settings settings = controlSettings(1, freePort());
+    settings.configurationBound = 1s;
+    auto leader = std::make_unique<control_daemon>(loop, platform.clients(), leaderSettings, peerSettings(leaderSettings));
+    REQUIRE(leader->start());
+    runUntil(loop, 3s, [&] { return leader->leadership().leader() != nullptr; });
+    control_daemon host(loop, {path, platform.executors, platform.hosts, platform.decoder}, settings, peerSettings(settings));
+    CHECK(host.findQueue("unknown", "/").found == queue_lookup::finding::unconfigured);
+    REQUIRE(host.start());
+    runUntil(loop, 3s, [&] { return host.isReady() && host.leadership().isConnected(); });
+    CHECK(host.findQueue("unknown", "/").found == queue_lookup::finding::missing);
+
+    // Without the store, the leader's word is enough.
+    path.isCut = true;
+    runUntil(loop, 2s, [] { return false; });
+    CHECK(host.findQueue("unknown", "/").found == queue_lookup::finding::missing);
+
+    leader.reset();
+    runUntil(loop, 2s, [] { return false; });
+    CHECK(host.findQueue("unknown", "/").found == queue_lookup::finding::uncertain);
+
+    path.isCut = false;
+    runUntil(loop, 2s, [&] { return host.findQueue("unknown", "/").found == queue_lookup::finding::missing; });
+    CHECK(host.findQueue("unknown", "/").found == queue_lookup::finding::missing);
+}
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -202,6 +202,7 @@
     CHECK(settings->hostServiceAddress == "10.0.0.2:81");
     CHECK(settings->gracePeriod == 6500ms);
     CHECK(settings->maximumLease == 7s);
+    CHECK(settings->configurationBound == 7s);
     CHECK(settings->processorShare == 0.12);
 }
 
