--- a/src/control/control_daemon.cpp
+++ b/src/control/control_daemon.cpp
@@ -97,8 +97,7 @@
     metrics.push_back(gauge("parsleyglade_ready", "1 while this entry host asks for connections.", isReady() ? 1 : 0));
     metrics.push_back(gauge("parsleyglade_leader_silence_seconds", "Time since the leader was last known to work.", toSeconds(m_leadership.silence())));
     metrics.push_back(gauge("parsleyglade_configuration_version", "Version of the configuration in force.", static_cast<double>(m_configuration.version)));
-    metrics.push_back(
-        gauge("parsleyglade_configuration_bytes", "Size of the operator's record in force.", static_cast<double>(m_configurationBytes)));
+    metrics.push_back(gauge("parsleyglade_configuration_bytes", "Size of the operator's record in force.", static_cast<double>(m_configurationBytes)));
     metrics.push_back(gauge("parsleyglade_configuration_age_seconds", "Time since the configuration in force was last known to be the newest.",
                             toSeconds(m_leadership.configurationAge())));
     metrics.push_back(
--- a/src/control/keyed_follower.cpp
+++ b/src/control/keyed_follower.cpp
@@ -104,11 +104,12 @@
 void keyed_follower::readOn()
 {
     m_askedAt = m_timers.now();
-    m_store.read(m_topic, m_next, {m_settings.wait, m_settings.maximumReadBytes}, [this, alive = std::weak_ptr<bool>(m_alive)](const store_read_result &result) {
-        if (alive.lock()) {
-            takeRead(result);
-        }
-    });
+    m_store.read(m_topic, m_next, {m_settings.wait, m_settings.maximumReadBytes},
+                 [this, alive = std::weak_ptr<bool>(m_alive)](const store_read_result &result) {
+                     if (alive.lock()) {
+                         takeRead(result);
+                     }
+                 });
 }
 
 void keyed_follower::takeRead(const store_read_result &result)
--- a/src/control/leader_task.cpp
+++ b/src/control/leader_task.cpp
@@ -39,8 +39,8 @@
     , m_hosts(loop, platform.store, platform.hosts, platform.decoder, settings, *m_scheduler,
               [this] { return hasRight() && journalAge() < m_settings.hostOrderRight; })
     , m_registry(
-          loop, platform.store, store_topic::registry, registryReading(settings),
-          [this](const store_record &record) { takeRegistryRecord(record); }, [this] { wake(); })
+          loop, platform.store, store_topic::registry, registryReading(settings), [this](const store_record &record) { takeRegistryRecord(record); },
+          [this] { wake(); })
     , m_ended(std::move(ended))
 {
     m_scheduler->lead(static_cast<std::int64_t>(takeoverOffset), m_loop.now(), m_loop.wallNow(), hasResigned);
--- a/src/control/node_settings.cpp
+++ b/src/control/node_settings.cpp
@@ -61,8 +61,7 @@
     settings.maximumLease = secondsOf(checker.member("maximumLeaseMilliseconds").number(1, maximumMilliseconds) / millisecondsPerSecond);
     settings.hostOrderLease = secondsOf(checker.member("hostOrderLeaseMilliseconds").number(0, maximumMilliseconds) / millisecondsPerSecond);
     if (checker.has("configurationBoundMilliseconds")) {
-        settings.configurationBound
-            = secondsOf(checker.member("configurationBoundMilliseconds").number(1, maximumMilliseconds) / millisecondsPerSecond);
+        settings.configurationBound = secondsOf(checker.member("configurationBoundMilliseconds").number(1, maximumMilliseconds) / millisecondsPerSecond);
     }
     if (checker.has("processorShare")) {
         settings.processorShare = checker.member("processorShare").number(minimumProcessorShare, maximumProcessorShare);
--- a/src/external/http_requester.cpp
+++ b/src/external/http_requester.cpp
@@ -279,9 +279,8 @@
         item.reason.clear();
         item.begun = loop.now();
         item.receivedAtCheck = 0;
-        item.timeLimit = loop.after(request.timeLimit, [this, &item, limit = request.progressLimit, longest = request.longestTime] {
-            checkProgress(item, limit, longest);
-        });
+        item.timeLimit = loop.after(request.timeLimit,
+                                    [this, &item, limit = request.progressLimit, longest = request.longestTime] { checkProgress(item, limit, longest); });
 
         // The time limit above also covers answers that trickle; the limit of evhttp only covers silence and must not fire first.
         constexpr std::int64_t microsecondsPerSecond = 1'000'000;
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -224,8 +224,7 @@
 {
     wire::work_reply reply;
     reply.verdict = findQueue(queue) == nullptr ? wire::work_verdict::no_such_queue : wire::work_verdict::done;
-    reply.pending = std::count_if(m_active.begin(), m_active.end(),
-                                  [&](const scheduled_job *job) { return !job->hasBegun && job->work.queue == queue; });
+    reply.pending = std::count_if(m_active.begin(), m_active.end(), [&](const scheduled_job *job) { return !job->hasBegun && job->work.queue == queue; });
     m_actions.emplace_back(call_answer{token, reply});
 }
 
--- a/tests/control/keyed_follower_test.cpp
+++ b/tests/control/keyed_follower_test.cpp
@@ -84,7 +84,9 @@
     fixture.follower.start();
     fixture.timers.advance(100ms);
 
-    const auto largeRecord = [](int number) { return std::to_string(number) + std::string(recordBytes, ' '); };
+    const auto largeRecord = [](int number) {
+        return std::to_string(number) + std::string(recordBytes, ' ');
+    };
     for (int number = 0; number < recordCount; ++number) {
         fixture.store.put(store_topic::registry, {{"large", largeRecord(number)}});
         if (number == recordCount / 2) {
