Free connections whose calls are under way when a process ends

Change: the callback holds the connection weakly; the loop keeps it alive during the call. Test: 'a call under way when the loop ends is freed with its callback' fails before (2 owners for 1).

--- a/src/transport/endpoint_client.cpp
+++ b/src/transport/endpoint_client.cpp
@@ -25,12 +25,15 @@
         return;
     }
 
-    connection->call(request, requestId, limit, [this, alive = m_alive, address, connection, done = std::move(done)](call_result result, bool reusable) {
-        if (*alive) {
-            release(address, connection, reusable);
-        }
-        done(std::move(result));
-    });
+    // The connection owns this callback, which must not own the connection in turn.
+    connection->call(request, requestId, limit,
+                     [this, alive = m_alive, address, weak = std::weak_ptr(connection), done = std::move(done)](call_result result, bool reusable) {
+                         const auto held = weak.lock();
+                         if (*alive && held) {
+                             release(address, held, reusable);
+                         }
+                         done(std::move(result));
+                     });
 }
 
 std::size_t endpoint_client::connectionCount(const std::string &address) const
--- a/tests/transport/endpoint_client_test.cpp
+++ b/tests/transport/endpoint_client_test.cpp
@@ -178,3 +178,18 @@
     CHECK(endpoint.requests == 2);
     CHECK(client.connectionCount(endpoint.address) == 0);
 }
+
+// Guards against connections that are leaked when a process ends during a call, which LeakSanitizer reported after a graceful stop.
+TEST_CASE("a call under way when the loop ends is freed with its callback")
+{
+    const auto token = std::make_shared<int>();
+    {
+        event_loop loop;
+        scripted_endpoint endpoint(loop);
+        endpoint_client client(loop, {});
+        client.call(endpoint.address, {}, "1", 5s, [token](const call_result &) {});
+        const auto end = loop.after(20ms, [&] { loop.stop(); });
+        loop.run();
+    }
+    CHECK(token.use_count() == 1);
+}
