Tell callers that a submission was not carried out when the lead is not confirmed

What callers saw: 504 for submissions during an outage of the store, which they can't repeat safely, though nothing of them had been handed to the scheduler.

Cause: a submission that came while the lead was unconfirmed waited with the leader until its deadline, and its end was taken for unknown. Change: a call waits for the confirmation of the lead for a second at most, and not at all after 1.8 s without one; it is then 'not leading', which the gateway knows to be not carried out, tries again every 0.1 s, and answers 503 at the end.

Test: 'a submission during an outage of the store is certainly not accepted' fails before (unknown at both hosts, and the job is accepted afterwards).

--- a/src/control/control_settings.h
+++ b/src/control/control_settings.h
@@ -32,6 +32,7 @@
     duration configurationPullLimit = std::chrono::seconds{5}; /**< An unanswered request for the configuration is made again after this time. */
     duration answerRight = std::chrono::milliseconds{800}; /**< A leader says that a job is unknown, or how many wait, from its own state for this
                                                                 long after the journal last confirmed the lead; at most journalSilence. */
+    duration proofLimit = std::chrono::milliseconds{1000}; /**< A call waits for the journal to confirm the lead for at most this long. */
     duration keepAlive = std::chrono::milliseconds{200}; /**< The leader appends at least this often. */
     duration stalledJournal = std::chrono::milliseconds{700}; /**< A leader whose journal confirms nothing for this long is suspect. */
     duration claimSpread = std::chrono::milliseconds{200}; /**< Random delay before the first claim of all. */
--- a/src/control/leader_task.cpp
+++ b/src/control/leader_task.cpp
@@ -91,7 +91,7 @@
         handOn(call, std::move(reply));
         return;
     }
-    if (hasRight()) {
+    if (journalAge() < m_settings.answerRight + m_settings.proofLimit) {
         m_unproven.push_back({call, std::move(reply), m_loop.now()});
         wake();
         return;
@@ -107,6 +107,17 @@
     return journalAge() >= (isAboutKnownJob ? m_settings.scheduling.leaderRight : m_settings.answerRight);
 }
 
+/** What has waited too long for a confirmation was certainly not carried out; its caller is better told so than left in doubt. */
+void leader_task::expireUnproven()
+{
+    const time_point limit = m_loop.now() - m_settings.proofLimit;
+    const auto end = std::find_if(m_unproven.begin(), m_unproven.end(), [limit](const unproven_call &waiting) { return waiting.takenAt > limit; });
+    for (auto waiting = m_unproven.begin(); waiting != end; ++waiting) {
+        waiting->reply(withVerdict(wire::work_verdict::not_leading));
+    }
+    m_unproven.erase(m_unproven.begin(), end);
+}
+
 void leader_task::handOnProven()
 {
     const time_point proven = m_journal.lastConfirmed();
@@ -196,6 +207,7 @@
         return;
     }
     m_lastRun = m_loop.now();
+    expireUnproven();
     if (hasRight() && !m_isResigning) {
         m_scheduler->decide(m_loop.now(), m_loop.wallNow());
         m_hosts.run();
--- a/src/control/leader_task.h
+++ b/src/control/leader_task.h
@@ -64,6 +64,7 @@
     bool needsProof(const wire::work_call &call) const;
     void handOn(const wire::work_call &call, reply_function reply);
     void handOnProven();
+    void expireUnproven();
     void wake();
     void run();
     void writeBatch();
--- a/tests/control/deposed_leader_test.cpp
+++ b/tests/control/deposed_leader_test.cpp
@@ -109,3 +109,25 @@
     CHECK(answer->missing == work_gateway::gap::none);
     CHECK(answer->reply.verdict == wire::work_verdict::not_found);
 }
+
+// Guards against 504 for submissions that were never handed to the scheduler: callers can't repeat those safely elsewhere.
+TEST_CASE("a submission during an outage of the store is certainly not accepted", "[control]")
+{
+    pair_fixture fixture;
+    fixture.firstStore.isCut = true;
+    fixture.secondStore.isCut = true;
+    runUntil(fixture.loop, fixture.firstSettings.answerRight + 100ms, [] { return false; });
+    for (control_daemon *host : {&fixture.first, &fixture.second}) {
+        const auto answer = fixture.send(*host, submission("job"), 2850ms);
+        REQUIRE(answer);
+        CHECK(answer->missing == work_gateway::gap::not_reached);
+    }
+
+    fixture.firstStore.isCut = false;
+    fixture.secondStore.isCut = false;
+    runUntil(fixture.loop, 4s, [&] { return fixture.first.isReady() && fixture.second.isReady(); });
+    runUntil(fixture.loop, 500ms, [] { return false; });
+    const auto state = fixture.send(fixture.first, callOf(wire::work_call_kind::query, "job"), 2s);
+    REQUIRE(state);
+    CHECK(state->reply.verdict == wire::work_verdict::not_found);
+}
