Repeat an append at once while its place is read, and date the lead by its first try

An append that is found standing counted from its last repetition, though another writer may have followed the first try: the lead now counts from there. Names of calls that wait for a confirmation.

Tests: 'an append is repeated at once while the store's answer to a look is missing' and 'an append that is found standing confirms the lead as of its first try'; the second fails with the date of the repetition.

--- a/src/control/configuration_puller.cpp
+++ b/src/control/configuration_puller.cpp
@@ -41,7 +41,7 @@
 
 void configuration_puller::wait()
 {
-    m_timer = m_loop.after(m_settings.configurationPatience, [this] { pull(); });
+    m_timer = m_loop.after(m_settings.configurationPullDelay, [this] { pull(); });
 }
 
 void configuration_puller::pull()
--- a/src/control/control_settings.h
+++ b/src/control/control_settings.h
@@ -27,12 +27,12 @@
     duration suspicion = std::chrono::milliseconds{900}; /**< Silence of the leader after which its journal is watched. */
     duration journalSilence = std::chrono::milliseconds{800}; /**< A journal that gets no record for this long has no leader. */
     duration configurationBound = std::chrono::milliseconds{2000}; /**< A published configuration is in force everywhere within this time. */
-    duration configurationPatience
+    duration configurationPullDelay
         = std::chrono::milliseconds{1000}; /**< A configuration that a peer has and the store has not delivered for this long is asked of the peer. */
     duration configurationPullLimit = std::chrono::seconds{5}; /**< An unanswered request for the configuration is made again after this time. */
     duration answerRight = std::chrono::milliseconds{800}; /**< A leader says that a job is unknown, or how many wait, from its own state for this
                                                                 long after the journal last confirmed the lead; at most journalSilence. */
-    duration proofLimit = std::chrono::milliseconds{1000}; /**< A call waits for the journal to confirm the lead for at most this long. */
+    duration confirmationLimit = std::chrono::milliseconds{1000}; /**< A call waits for the journal to confirm the lead for at most this long. */
     duration keepAlive = std::chrono::milliseconds{200}; /**< The leader appends at least this often. */
     duration stalledJournal = std::chrono::milliseconds{700}; /**< A leader whose journal confirms nothing for this long is suspect. */
     duration claimSpread = std::chrono::milliseconds{200}; /**< Random delay before the first claim of all. */
--- a/src/control/journal_writer.cpp
+++ b/src/control/journal_writer.cpp
@@ -32,6 +32,7 @@
     m_entries.insert(m_entries.end(), std::make_move_iterator(entries.begin()), std::make_move_iterator(entries.end()));
     m_done = std::move(done);
     m_mayStand = false;
+    m_firstSentAt = m_timers.now();
     send();
 }
 
@@ -48,32 +49,35 @@
 void journal_writer::send()
 {
     m_sentAt = m_timers.now();
-    m_store.append(store_topic::journal, m_entries, m_end, [this, alive = std::weak_ptr<bool>(m_alive)](const store_append_result &result) {
-        if (alive.lock()) {
-            take(result);
-        }
-    });
+    m_isSendDue = true;
+    m_store.append(store_topic::journal, m_entries, m_end,
+                   [this, attempt = ++m_attempt, alive = std::weak_ptr<bool>(m_alive)](const store_append_result &result) {
+                       if (alive.lock() && attempt == m_attempt && isBusy()) {
+                           m_isSendDue = false;
+                           take(result);
+                       }
+                   });
 }
 
 void journal_writer::take(const store_append_result &result)
 {
     switch (result.status) {
     case store_append_status::appended:
-        succeed(result.offset);
+        succeed(result.offset, m_sentAt);
         return;
     case store_append_status::conflict:
         resolve("conflict");
         return;
     case store_append_status::unknown:
         m_mayStand = true;
-        noteFailure(result.reason);
-        again(&journal_writer::look);
-        return;
+        // A small answer may come through where the repeated append does not.
+        look();
+        break;
     case store_append_status::refused:
         break;
     }
     noteFailure(result.reason);
-    again(&journal_writer::send);
+    sendAgain();
 }
 
 void journal_writer::noteFailure(const std::string &reason)
@@ -94,21 +98,24 @@
     look();
 }
 
-/** Reads what stands at this writer's place: a small answer comes through where the repeated append might not. */
+/** Reads what stands at this writer's place. */
 void journal_writer::look()
 {
-    m_store.read(store_topic::journal, m_end, {duration::zero(), resolvedBytes}, [this, alive = std::weak_ptr<bool>(m_alive)](const store_read_result &result) {
-        if (alive.lock()) {
-            takeRecords(result);
-        }
-    });
+    m_store.read(store_topic::journal, m_end, {duration::zero(), resolvedBytes},
+                 [this, place = m_end, alive = std::weak_ptr<bool>(m_alive)](const store_read_result &result) {
+                     if (alive.lock() && isBusy() && place == m_end) {
+                         takeRecords(result);
+                     }
+                 });
 }
 
 void journal_writer::takeRecords(const store_read_result &result)
 {
     const bool isFree = result.status == store_read_status::ok && result.records.empty();
     if (result.status == store_read_status::unavailable || isFree) {
-        again(&journal_writer::send);
+        if (!m_isSendDue) {
+            sendAgain();
+        }
         return;
     }
     if (result.status == store_read_status::ok) {
@@ -118,7 +125,8 @@
             && header->sequence == m_sequence;
         if (isOurs) {
             m_log.info("an append without an answer stands in the journal", {{"offset", m_end}, {"sequence", m_sequence}});
-            succeed(m_end);
+            // It may have been appended by any try, and another writer may have followed since.
+            succeed(m_end, m_firstSentAt);
             return;
         }
     }
@@ -126,21 +134,23 @@
     m_deposed();
 }
 
-void journal_writer::succeed(std::uint64_t offset)
+void journal_writer::succeed(std::uint64_t offset, time_point sentAt)
 {
     if (m_isStalled) {
         m_isStalled = false;
         m_log.info("appends succeed again", {{"offset", offset}});
     }
+    m_timer.cancel();
     m_end = offset + m_entries.size();
-    m_lastConfirmed = m_sentAt;
+    m_lastConfirmed = sentAt;
     const auto done = std::exchange(m_done, nullptr);
     done(offset);
 }
 
-void journal_writer::again(void (journal_writer::*step)())
+void journal_writer::sendAgain()
 {
-    m_timer = m_timers.after(m_settings.storeRetry, [this, step] { (this->*step)(); });
+    m_isSendDue = true;
+    m_timer = m_timers.after(m_settings.storeRetry, [this] { send(); });
 }
 
 } // namespace parsleyglade
--- a/src/control/journal_writer.h
+++ b/src/control/journal_writer.h
@@ -13,8 +13,8 @@
 
 /**
  * Appends the leader's batches, one at a time, each on the condition that the journal ends where this writer left it. Only one of two
- * writers can meet the condition, so a conflict means that another entry host leads. After an append without an answer the writer reads
- * whose record stands at its place, and repeats the append with the same condition where there is none.
+ * writers can meet the condition, so a conflict means that another entry host leads. An append without an answer is repeated with the
+ * same condition, and the writer reads meanwhile whose record stands at its place.
  */
 class journal_writer
 {
@@ -45,8 +45,8 @@
     void resolve(const std::string &reason);
     void look();
     void takeRecords(const store_read_result &result);
-    void succeed(std::uint64_t offset);
-    void again(void (journal_writer::*step)());
+    void succeed(std::uint64_t offset, time_point sentAt);
+    void sendAgain();
 
     timer_service &m_timers;
     keyed_store &m_store;
@@ -56,10 +56,13 @@
     std::int64_t m_sequence = 0;
     std::vector<journal_entry> m_entries;
     std::function<void(std::uint64_t)> m_done;
+    time_point m_firstSentAt{}; /**< When the append under way was sent for the first time. */
     time_point m_sentAt{};
     time_point m_lastConfirmed{};
     bool m_mayStand = false; /**< An earlier try of this append got no answer. */
     bool m_isStalled = false;
+    bool m_isSendDue = false; /**< An append is under way, or will be sent again. */
+    std::uint64_t m_attempt = 0; /**< Number of the last append that was sent; answers to earlier ones are ignored. */
     timer_subscription m_timer;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     logger m_log{"journal"};
--- a/src/control/leader_task.cpp
+++ b/src/control/leader_task.cpp
@@ -64,7 +64,7 @@
     for (const auto &[token, reply] : m_calls) {
         reply(withVerdict(wire::work_verdict::undecided));
     }
-    for (const unproven_call &waiting : m_unproven) {
+    for (const deferred_call &waiting : m_deferred) {
         waiting.reply(withVerdict(wire::work_verdict::not_leading));
     }
 }
@@ -87,12 +87,12 @@
         reply(withVerdict(wire::work_verdict::not_leading));
         return;
     }
-    if (!needsProof(call)) {
-        handOn(call, std::move(reply));
+    if (!needsConfirmation(call)) {
+        passOn(call, std::move(reply));
         return;
     }
-    if (journalAge() < m_settings.answerRight + m_settings.proofLimit) {
-        m_unproven.push_back({call, std::move(reply), m_loop.now()});
+    if (journalAge() < m_settings.answerRight + m_settings.confirmationLimit) {
+        m_deferred.push_back({call, std::move(reply), m_loop.now()});
         wake();
         return;
     }
@@ -100,7 +100,7 @@
 }
 
 /** A successor may have accepted and started jobs unknown here when the journal has not confirmed the lead for a while. */
-bool leader_task::needsProof(const wire::work_call &call) const
+bool leader_task::needsConfirmation(const wire::work_call &call) const
 {
     const bool isPending = call.kind == wire::work_call_kind::count_pending;
     const bool isAboutKnownJob = !isPending && m_scheduler->findJob(call.job) != nullptr;
@@ -108,28 +108,28 @@
 }
 
 /** What has waited too long for a confirmation was certainly not carried out; its caller is better told so than left in doubt. */
-void leader_task::expireUnproven()
+void leader_task::expireDeferred()
 {
-    const time_point limit = m_loop.now() - m_settings.proofLimit;
-    const auto end = std::find_if(m_unproven.begin(), m_unproven.end(), [limit](const unproven_call &waiting) { return waiting.takenAt > limit; });
-    for (auto waiting = m_unproven.begin(); waiting != end; ++waiting) {
+    const time_point limit = m_loop.now() - m_settings.confirmationLimit;
+    const auto end = std::find_if(m_deferred.begin(), m_deferred.end(), [limit](const deferred_call &waiting) { return waiting.takenAt > limit; });
+    for (auto waiting = m_deferred.begin(); waiting != end; ++waiting) {
         waiting->reply(withVerdict(wire::work_verdict::not_leading));
     }
-    m_unproven.erase(m_unproven.begin(), end);
+    m_deferred.erase(m_deferred.begin(), end);
 }
 
-void leader_task::handOnProven()
+void leader_task::passOnConfirmed()
 {
-    const time_point proven = m_journal.lastConfirmed();
-    const auto end = std::find_if(m_unproven.begin(), m_unproven.end(), [proven](const unproven_call &waiting) { return waiting.takenAt > proven; });
-    std::vector<unproven_call> ready(std::make_move_iterator(m_unproven.begin()), std::make_move_iterator(end));
-    m_unproven.erase(m_unproven.begin(), end);
-    for (unproven_call &waiting : ready) {
-        handOn(waiting.call, std::move(waiting.reply));
+    const time_point confirmed = m_journal.lastConfirmed();
+    const auto end = std::find_if(m_deferred.begin(), m_deferred.end(), [confirmed](const deferred_call &waiting) { return waiting.takenAt > confirmed; });
+    std::vector<deferred_call> ready(std::make_move_iterator(m_deferred.begin()), std::make_move_iterator(end));
+    m_deferred.erase(m_deferred.begin(), end);
+    for (deferred_call &waiting : ready) {
+        passOn(waiting.call, std::move(waiting.reply));
     }
 }
 
-void leader_task::handOn(const wire::work_call &call, reply_function reply)
+void leader_task::passOn(const wire::work_call &call, reply_function reply)
 {
     const call_token token = m_nextToken++;
     m_calls[token] = std::move(reply);
@@ -207,7 +207,7 @@
         return;
     }
     m_lastRun = m_loop.now();
-    expireUnproven();
+    expireDeferred();
     if (hasRight() && !m_isResigning) {
         m_scheduler->decide(m_loop.now(), m_loop.wallNow());
         m_hosts.run();
@@ -249,7 +249,7 @@
     if (!batch) {
         if (journalAge() >= m_settings.keepAlive) {
             m_journal.append(header, {}, [this](std::uint64_t) {
-                handOnProven();
+                passOnConfirmed();
                 wake();
             });
         }
@@ -258,7 +258,7 @@
     m_journal.append(header, std::move(batch->entries), [this, number = batch->number, begun = m_loop.now()](std::uint64_t) {
         m_metrics.countAppend(m_loop.now() - begun);
         m_scheduler->confirmBatch(number, m_loop.now());
-        handOnProven();
+        passOnConfirmed();
         wake();
     });
 }
--- a/src/control/leader_task.h
+++ b/src/control/leader_task.h
@@ -54,17 +54,17 @@
 
 private:
     /** A call that is answered when the journal has confirmed the lead once more. */
-    struct unproven_call
+    struct deferred_call
     {
         wire::work_call call;
         reply_function reply;
         time_point takenAt{};
     };
 
-    bool needsProof(const wire::work_call &call) const;
-    void handOn(const wire::work_call &call, reply_function reply);
-    void handOnProven();
-    void expireUnproven();
+    bool needsConfirmation(const wire::work_call &call) const;
+    void passOn(const wire::work_call &call, reply_function reply);
+    void passOnConfirmed();
+    void expireDeferred();
     void wake();
     void run();
     void writeBatch();
@@ -86,7 +86,7 @@
     keyed_follower m_registry;
     std::function<void()> m_ended;
     std::map<call_token, reply_function> m_calls;
-    std::vector<unproven_call> m_unproven; /**< In order of arrival. */
+    std::vector<deferred_call> m_deferred; /**< In order of arrival. */
     call_token m_nextToken = 1;
     std::set<std::string> m_malformedEntries;
     timer_subscription m_heartbeat;
--- a/tests/control/journal_test.cpp
+++ b/tests/control/journal_test.cpp
@@ -64,6 +64,34 @@
     CHECK_FALSE(fixture.isDeposed);
 }
 
+// Guards against a lead that counts as confirmed by a repetition, though another writer may have come after the append that stands.
+TEST_CASE("an append that is found standing confirms the lead as of its first try", "[journal]")
+{
+    writer_fixture fixture;
+    fixture.store.appendFaults = {fault::unanswered};
+    fixture.store.readsToIgnore = 1; // the repetition is sent, and meets the record of the first try
+    const time_point begun = fixture.timers.now();
+    fixture.append();
+    REQUIRE(fixture.confirmed == 0U);
+    CHECK(fixture.writer.lastConfirmed() == begun);
+}
+
+// Guards against a look at the writer's place that holds up the repeated append: the journal would come back later after an outage.
+TEST_CASE("an append is repeated at once while the store's answer to a look is missing", "[journal]")
+{
+    writer_fixture fixture;
+    fixture.store.readsToIgnore = 1;
+    fixture.store.appendFaults = {fault::lost};
+    const time_point begun = fixture.timers.now();
+    fixture.append();
+    REQUIRE(fixture.confirmed == 0U);
+    CHECK(fixture.timers.now() - begun < 300ms);
+    fixture.append();
+    CHECK(fixture.confirmed == 2U);
+    CHECK(fixture.countKey("key") == 2);
+    CHECK_FALSE(fixture.isDeposed);
+}
+
 TEST_CASE("a writer whose place another one has taken is deposed and appends nothing", "[journal]")
 {
     const auto faults = GENERATE(std::vector<fault>{}, std::vector<fault>{fault::lost});
--- a/tests/control/memory_store.cpp
+++ b/tests/control/memory_store.cpp
@@ -62,6 +62,10 @@
 
 void memory_store::read(store_topic topic, std::uint64_t from, store_read_bounds bounds, std::function<void(store_read_result)> done)
 {
+    if (readsToIgnore > 0) {
+        --readsToIgnore;
+        return;
+    }
     later(answerTime, [this, topic, from, until = m_timers.now() + bounds.wait, maximumBytes = bounds.maximumBytes, done = std::move(done)] {
         answerRead(topic, from, until, maximumBytes, done);
     });
--- a/tests/control/memory_store.h
+++ b/tests/control/memory_store.h
@@ -40,6 +40,7 @@
 
     std::deque<append_fault> appendFaults;
     bool isDown = false;
+    int readsToIgnore = 0; /**< So many of the next reads are never answered. */
     std::size_t pageSize = 500;
     std::size_t bytesPerSecond = 0; /**< Rate at which records are delivered; 0 for no limit. */
     std::size_t pagedRecords = 0; /**< Records that newest() has delivered. */
