Find idle connections by address, rank only waiting jobs, space polls, refuse what would wait too long

Cause (measured with the new tools/measure-scheduler, read in http_requester): every order and poll walked the list of all connections, about 2,000 at 1,100 executors, so the cost of an exchange grew with the fleet. Each round of decisions ranked all active jobs twice and checked each executor's runs every 25 ms, and an executor with a run that was being started was polled without a wait, again and again. Submissions whose expected wait exceeds 0.6 of their slack are refused at once with the time at which the backlog will have shrunk; so are submissions that an overloaded leader would delay.

--- a/src/control/control_settings.h
+++ b/src/control/control_settings.h
@@ -40,13 +40,15 @@
     duration electionBackoff = std::chrono::milliseconds{1000}; /**< Time after an attempt to take over, or after losing leadership, before the next attempt. */
     duration registryReadInterval = std::chrono::milliseconds{200}; /**< Interval between reads of the registry. */
     duration hostListInterval = std::chrono::milliseconds{400}; /**< Interval between requests for the list of hosts. */
-    duration hostDecisionInterval = std::chrono::milliseconds{25}; /**< Interval between rounds of decisions about hosts. */
+    duration hostDecisionInterval = std::chrono::milliseconds{25}; /**< Interval between rounds of decisions about hosts, for a small fleet. */
+    duration hostDecisionIntervalPerHost = std::chrono::microseconds{50}; /**< Added to it for each host, since a round looks at all of them. */
     duration poolPlanInterval = std::chrono::milliseconds{100}; /**< Interval between plans of the pools. */
     duration hostTakeoverDelay
         = std::chrono::milliseconds{3200}; /**< Time before a new leader sends orders for hosts that may have a recent order of its predecessor. */
     duration hostOrderLeadershipLease = std::chrono::milliseconds{1200}; /**< Maximum time since the last confirmed append at which host orders are sent. */
     duration storeRetryDelay = std::chrono::milliseconds{100}; /**< Delay before a failed append or read is retried. */
-    duration minimumDecisionInterval = std::chrono::milliseconds{4}; /**< Minimum time between rounds of decisions. */
+    duration minimumDecisionInterval = std::chrono::milliseconds{4}; /**< Minimum time between rounds of decisions, for a small fleet. */
+    duration decisionIntervalPerExecutor = std::chrono::microseconds{6}; /**< Added to it for each executor, since a round looks at all of them. */
     duration callRetryDelay = std::chrono::milliseconds{100}; /**< Delay before a call that no leader accepted is retried. */
     duration callTimeout = std::chrono::milliseconds{1500}; /**< Time after which an unanswered call to the leader is retried. */
 };
--- a/src/control/entry_host_settings.cpp
+++ b/src/control/entry_host_settings.cpp
@@ -14,6 +14,8 @@
 constexpr double minimumProcessorShare = 0.001;
 constexpr double maximumProcessorShare = 1'024;
 constexpr double millisecondsPerSecond = 1'000;
+constexpr double minimumDescriptors = 256;
+constexpr double maximumDescriptors = 1'000'000;
 
 duration secondsOf(double seconds)
 {
@@ -42,7 +44,7 @@
     json_checker checker(*document, failures);
     checker.checkObject({"entryHost", "dataCentre", "region", "callerAddress", "readinessAddress", "peerAddress", "storeAddress", "sharedKey",
                          "gracePeriodSeconds", "maximumLeaseMilliseconds", "hostOrderLeaseMilliseconds"},
-                        {"hostServiceAddress", "adviceAddress", "metricsAddress", "logLevel", "processorShare", "configurationBoundMilliseconds"});
+                        {"hostServiceAddress", "adviceAddress", "metricsAddress", "logLevel", "processorShare", "maximumDescriptors", "configurationBoundMilliseconds"});
 
     entry_host_settings settings;
     settings.entryHost = checker.member("entryHost").identifier(maximumName);
@@ -66,6 +68,9 @@
     if (checker.has("processorShare")) {
         settings.processorShare = checker.member("processorShare").number(minimumProcessorShare, maximumProcessorShare);
     }
+    if (checker.has("maximumDescriptors")) {
+        settings.maximumDescriptors = static_cast<std::size_t>(checker.member("maximumDescriptors").number(minimumDescriptors, maximumDescriptors));
+    }
     if (checker.has("logLevel")) {
         static const std::map<std::string, log_level> levels{
             {"debug", log_level::debug}, {"info", log_level::info}, {"warning", log_level::warning}, {"error", log_level::error}};
--- a/src/control/host_task.cpp
+++ b/src/control/host_task.cpp
@@ -34,7 +34,8 @@
     if (m_timers.now() < m_nextDecision) {
         return;
     }
-    m_nextDecision = m_timers.now() + m_settings.hostDecisionInterval;
+    m_nextDecision
+        = m_timers.now() + m_settings.hostDecisionInterval + m_settings.hostDecisionIntervalPerHost * static_cast<std::int64_t>(m_waves.hosts().size());
     m_waves.decide(m_timers.now(), [this](const std::string &host) { return m_pools.isMoving(host); });
     for (const wave_manager::status_update &update : m_waves.takeStatusUpdates()) {
         writeStatus(update);
--- a/src/control/leader_task.cpp
+++ b/src/control/leader_task.cpp
@@ -199,7 +199,9 @@
     }
     m_isRunScheduled = true;
     const duration elapsed = m_loop.now() - m_lastRun;
-    m_runTimer = m_loop.after(std::max(m_settings.minimumDecisionInterval - elapsed, duration::zero()), [this] { run(); });
+    const duration interval
+        = m_settings.minimumDecisionInterval + m_settings.decisionIntervalPerExecutor * static_cast<std::int64_t>(m_scheduler->executorCount());
+    m_runTimer = m_loop.after(std::max(interval - elapsed, duration::zero()), [this] { run(); });
 }
 
 void leader_task::run()
--- a/src/external/http_requester.cpp
+++ b/src/external/http_requester.cpp
@@ -13,6 +13,7 @@
 #include <list>
 #include <optional>
 #include <sys/socket.h>
+#include <unordered_map>
 
 namespace parsleyglade {
 
@@ -124,7 +125,9 @@
         time_point startedAt;
         std::size_t receivedAtLastCheck = 0; /**< Bytes of the response at the last progress check. */
         time_point idleSince;
-        bool isBroken = false;
+        std::list<std::unique_ptr<connection>>::iterator position; /**< In the list of all connections. */
+        std::list<connection *>::iterator idlePosition; /**< In the list of idle connections; valid while isIdle. */
+        bool isIdle = false;
     };
 
     state(event_loop &eventLoop, http_requester_settings values)
@@ -156,36 +159,59 @@
         return unparsed + (item.request == nullptr ? 0 : evbuffer_get_length(evhttp_request_get_input_buffer(item.request)));
     }
 
-    static bool isIdle(const connection &item)
+    void addIdle(connection &item)
     {
-        return !item.done && !item.isBroken;
+        item.isIdle = true;
+        item.idleSince = loop.now();
+        item.idlePosition = idleConnections.insert(idleConnections.end(), &item);
+        idleByAddress[item.address].push_back(&item);
+    }
+
+    void removeIdle(connection &item)
+    {
+        item.isIdle = false;
+        idleConnections.erase(item.idlePosition);
+        const auto found = idleByAddress.find(item.address);
+        std::erase(found->second, &item);
+        if (found->second.empty()) {
+            idleByAddress.erase(found);
+        }
+    }
+
+    /** Closes the connection that has been idle for the longest time. @pre there is an idle connection */
+    void closeOldestIdleConnection()
+    {
+        connection &oldest = *idleConnections.front();
+        removeIdle(oldest);
+        connections.erase(oldest.position);
     }
 
     void closeIdleConnections()
     {
         const time_point threshold = loop.now() - settings.idleTimeout;
-        connections.remove_if([threshold](const auto &item) { return isIdle(*item) && item->idleSince < threshold; });
+        while (!idleConnections.empty() && idleConnections.front()->idleSince < threshold) {
+            closeOldestIdleConnection();
+        }
     }
 
+    /** Returns the connection to the address that was used last, so that the others can time out. */
     connection *findIdleConnection(const std::string &address)
     {
-        connection *newest = nullptr;
-        for (const auto &item : connections) {
-            if (isIdle(*item) && item->address == address && isReusable(*item) && (newest == nullptr || item->idleSince > newest->idleSince)) {
-                newest = item.get();
-            }
+        const auto found = idleByAddress.find(address);
+        if (found == idleByAddress.end()) {
+            return nullptr;
         }
-        return newest;
+        const auto newest = std::find_if(found->second.rbegin(), found->second.rend(), [](const connection *item) { return isReusable(*item); });
+        return newest == found->second.rend() ? nullptr : *newest;
     }
 
     connection *openConnection(const std::string &address, const endpoint_address &parsed)
     {
         if (connections.size() >= settings.maximumConnections) {
-            const auto idle = std::find_if(connections.begin(), connections.end(), [](const auto &item) { return isIdle(*item); });
-            if (idle == connections.end()) {
+            if (idleConnections.empty()) {
                 return nullptr;
             }
-            connections.erase(idle);
+            closeOldestIdleConnection();
         }
 
         auto item = std::make_unique<connection>();
@@ -198,8 +224,9 @@
 
         evhttp_connection_set_max_headers_size(item->handle.get(), static_cast<ev_ssize_t>(settings.maximumHeaderBytes));
         evhttp_connection_set_max_body_size(item->handle.get(), static_cast<ev_ssize_t>(settings.maximumBodyBytes));
-        connections.push_back(std::move(item));
-        return connections.back().get();
+        connection &opened = *item;
+        opened.position = connections.insert(connections.end(), std::move(item));
+        return &opened;
     }
 
     void completeLater(std::function<void(http_result)> done, http_result result)
@@ -215,15 +242,15 @@
 
         item.timeoutTimer.cancel();
         item.request = nullptr;
-        item.idleSince = loop.now();
-        item.isBroken = !reusable;
         completeLater(std::exchange(item.done, nullptr), std::move(result));
+        if (reusable) {
+            addIdle(item);
+            return;
+        }
 
         // evhttp still uses the connection during its callback, so the connection is freed in a later iteration of the event loop.
-        if (item.isBroken) {
-            resetOnClose(item);
-            calls.after(duration::zero(), [this] { connections.remove_if([](const auto &candidate) { return candidate->isBroken; }); });
-        }
+        resetOnClose(item);
+        calls.after(duration::zero(), [this, &item] { connections.erase(item.position); });
     }
 
     /** Makes the close of the connection discard unsent bytes, so that the server does not execute an abandoned request later. */
@@ -276,6 +303,9 @@
 
     void startRequest(connection &item, const outgoing_request &request, evhttp_cmd_type method, std::function<void(http_result)> done)
     {
+        if (item.isIdle) {
+            removeIdle(item);
+        }
         item.done = std::move(done);
         item.reason.clear();
         item.startedAt = loop.now();
@@ -315,6 +345,8 @@
     event_loop &loop;
     http_requester_settings settings;
     std::list<std::unique_ptr<connection>> connections;
+    std::list<connection *> idleConnections; /**< The one that has been idle for the longest time first. */
+    std::unordered_map<std::string, std::vector<connection *>> idleByAddress; /**< The one that was used last at the end. */
     delayed_calls calls;
     timer_subscription idleTimer;
 };
--- a/src/jobs/claim_fold.cpp
+++ b/src/jobs/claim_fold.cpp
@@ -187,12 +187,12 @@
 
 void claim_fold::applyHorizon(std::int64_t milliseconds)
 {
-    const wall_time horizon{std::chrono::milliseconds{milliseconds}};
-    if (horizon <= m_horizon) {
+    const std::chrono::milliseconds sinceEpoch{milliseconds};
+    if (sinceEpoch <= m_horizon.time_since_epoch()) {
         return;
     }
 
-    m_horizon = horizon;
+    m_horizon = wall_time(sinceEpoch);
     while (!m_records.empty() && isExpired(m_records.begin()->first.key)) {
         m_voidCount -= m_records.begin()->second.voidAttempts.size();
         m_records.erase(m_records.begin());
--- /dev/null
+++ b/src/scheduler/admission_control.cpp
@@ -0,0 +1,53 @@
+#include "scheduler/admission_control.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace parsleyglade {
+
+namespace {
+
+constexpr duration minimumRetryDelay = std::chrono::milliseconds{500};
+
+} // namespace
+
+void admission_control::update(std::map<std::string, service_load> loads)
+{
+    m_loads = std::move(loads);
+}
+
+void admission_control::addAccepted(const std::string &service, double millicoreMilliseconds)
+{
+    const auto found = m_loads.find(service);
+    if (found != m_loads.end() && found->second.waitingMillicoreMilliseconds > 0.0) {
+        found->second.waitingMillicoreMilliseconds += millicoreMilliseconds;
+    }
+}
+
+void admission_control::setControlDelay(duration delay)
+{
+    m_controlDelay = delay;
+}
+
+duration admission_control::expectedWait(const std::string &service) const
+{
+    const auto found = m_loads.find(service);
+    if (found == m_loads.end() || found->second.capacityMillicores <= 0) {
+        return m_controlDelay;
+    }
+    const std::chrono::duration<double, std::milli> wait{found->second.waitingMillicoreMilliseconds / static_cast<double>(found->second.capacityMillicores)};
+    return std::chrono::duration_cast<duration>(wait) + m_controlDelay;
+}
+
+std::optional<duration> admission_control::findRetryDelay(const std::string &service, duration slack, const std::string &caller) const
+{
+    const duration excess = expectedWait(service) - slack;
+    if (excess <= duration::zero()) {
+        return std::nullopt;
+    }
+    const duration delay = std::max(excess, minimumRetryDelay);
+    const auto spread = static_cast<std::int64_t>(std::hash<std::string>{}(caller) % static_cast<std::size_t>(delay.count()));
+    return delay + duration{spread};
+}
+
+} // namespace parsleyglade
--- a/src/scheduler/job_records.cpp
+++ b/src/scheduler/job_records.cpp
@@ -12,20 +12,6 @@
 constexpr int maximumOccurrences = 1'000;
 constexpr std::int64_t maximumTasks = 4'000; // keeps a progress record below the journal's limit of 256 KiB
 
-duration computeCriticalPath(const wire::work_record &work)
-{
-    std::vector<std::int64_t> ends;
-    for (const wire::step_record &step : work.steps) {
-        std::int64_t start = 0;
-        for (const int before : step.after) {
-            start = std::max(start, ends[static_cast<std::size_t>(before)]);
-        }
-        ends.push_back(start + step.estimateMilliseconds);
-    }
-    const std::int64_t longest = ends.empty() ? 0 : *std::max_element(ends.begin(), ends.end());
-    return std::chrono::milliseconds(longest);
-}
-
 std::optional<std::string> findStepFault(const wire::step_record &step, int number)
 {
     if (step.taskCount < 1 || step.taskCount > maximumTasksPerStep) {
@@ -88,6 +74,7 @@
     job->id = std::move(id);
     job->work = work;
     job->criticalPath = computeCriticalPath(job->work);
+    job->isLongRunning = std::any_of(work.steps.begin(), work.steps.end(), [](const wire::step_record &step) { return step.longRunning; });
 
     const bool timed = job->work.repeatCount > 0;
     const int count = timed ? job->work.repeatCount : 1;
@@ -104,6 +91,20 @@
     return job;
 }
 
+duration computeCriticalPath(const wire::work_record &work)
+{
+    std::vector<std::int64_t> ends;
+    for (const wire::step_record &step : work.steps) {
+        std::int64_t start = 0;
+        for (const int before : step.after) {
+            start = std::max(start, ends[static_cast<std::size_t>(before)]);
+        }
+        ends.push_back(start + step.estimateMilliseconds);
+    }
+    const std::int64_t longest = ends.empty() ? 0 : *std::max_element(ends.begin(), ends.end());
+    return std::chrono::milliseconds(longest);
+}
+
 std::optional<std::string> findWorkFault(const wire::work_record &work)
 {
     if (work.steps.empty() || work.steps.size() > maximumSteps) {
--- a/src/scheduler/job_records.h
+++ b/src/scheduler/job_records.h
@@ -11,6 +11,9 @@
 /** Creates a job whose tasks are all waiting. @pre findWorkFault(work) returns nothing */
 std::unique_ptr<scheduled_job> makeJob(std::string id, const wire::work_record &work);
 
+/** Returns the declared run time of the longest chain of dependent steps. */
+duration computeCriticalPath(const wire::work_record &work);
+
 /** Validates a job description. Returns the reason why it can never run, or nothing if it is valid. */
 std::optional<std::string> findWorkFault(const wire::work_record &work);
 
--- a/src/scheduler/scheduled_job.h
+++ b/src/scheduler/scheduled_job.h
@@ -85,6 +85,8 @@
     bool hasBegun = false; /**< A task is known to have started. */
     std::vector<scheduled_occurrence> occurrences;
     duration criticalPath{}; /**< Declared run time of the longest chain of dependent steps. */
+    bool isLongRunning = false; /**< Has steps whose tasks run until the job is cancelled. */
+    bool mayHaveWaitingTasks = true; /**< Something has changed since placement last found no task of the job waiting. */
     wall_time finishedAt{};
     bool isNew = true; /**< The job description is not part of any journal batch yet. */
     std::uint64_t batch = 0; /**< Number of the last batch that contains the job. */
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -180,7 +180,11 @@
     }
     if (m_active.size() >= m_settings.maximumJobs) {
         addDecision("refuse", job, {}, {}, "active=" + std::to_string(m_active.size()) + " limit=" + std::to_string(m_settings.maximumJobs));
-        respond(token, wire::work_verdict::refused, "too many unfinished jobs");
+        refuse(token, "too many unfinished jobs", m_settings.refusalDelay);
+        return;
+    }
+    if (const auto retryDelay = findRetryDelay(job, work, *queue)) {
+        refuse(token, "the job would wait too long for an executor", *retryDelay);
         return;
     }
 
@@ -190,7 +194,9 @@
     m_jobs[job] = std::move(added);
     m_active.push_back(&accepted);
     m_changed.push_back(&accepted);
-    m_arrivals.try_emplace(queue->service, m_settings.arrivalWindow).first->second.add(m_now, declaredWork(accepted.work));
+    const double expectedWork = static_cast<double>(declaredWork(accepted.work)) * runTimeRatio(queue->name);
+    m_arrivals.try_emplace(queue->service, m_settings.arrivalWindow).first->second.add(m_now, static_cast<std::int64_t>(expectedWork));
+    m_admission.addAccepted(queue->service, expectedWork);
     addDecision("accept", job, {}, {}, "queue=" + accepted.work.queue + " configuration=" + std::to_string(m_configuration.version));
     respondWhenRecorded(token, accepted);
 }
@@ -289,6 +295,11 @@
     return m_jobs.size();
 }
 
+std::size_t scheduler::executorCount() const
+{
+    return m_executors.size();
+}
+
 const scheduled_job *scheduler::findJob(const std::string &id) const
 {
     const auto found = m_jobs.find(id);
@@ -323,9 +334,15 @@
     wire::work_reply reply;
     reply.verdict = verdict;
     reply.reason = std::move(reason);
-    if (verdict == wire::work_verdict::refused) {
-        reply.retryAfterMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.refusalDelay).count();
-    }
+    m_actions.emplace_back(call_response{token, reply});
+}
+
+void scheduler::refuse(call_token token, const std::string &reason, duration retryDelay)
+{
+    wire::work_reply reply;
+    reply.verdict = wire::work_verdict::refused;
+    reply.reason = reason;
+    reply.retryAfterMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(retryDelay).count();
     m_actions.emplace_back(call_response{token, reply});
 }
 
@@ -360,6 +377,7 @@
 
 void scheduler::markChanged(scheduled_job &job)
 {
+    job.mayHaveWaitingTasks = true;
     if (!job.changed) {
         job.changed = true;
         m_changed.push_back(&job);
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "core/time_types.h"
+#include "scheduler/admission_control.h"
 #include "scheduler/arrival_window.h"
 #include "scheduler/executor_state.h"
 #include "scheduler/queue_configuration.h"
+#include "scheduler/run_time_ratio.h"
 #include "scheduler/scheduled_job.h"
 #include "scheduler/scheduler_action.h"
 #include "scheduler/scheduler_settings.h"
@@ -131,6 +133,7 @@
     bool isDeposed() const;
 
     std::size_t jobCount() const;
+    std::size_t executorCount() const;
     const scheduled_job *findJob(const std::string &id) const;
     const executor_state *findExecutor(const std::string &id) const;
 
@@ -153,7 +156,6 @@
     {
         scheduled_job *job = nullptr;
         const queue_policy *queue = nullptr;
-        bool isLongRunning = false; /**< Has steps whose tasks run until the job is cancelled. */
         int lateness = 0; /**< 0: on time, 1: late, 2: too late to be useful. */
         std::int64_t dueMilliseconds = 0; /**< Wall-clock time by which the job should finish. */
     };
@@ -171,6 +173,7 @@
     const queue_policy *findQueue(const std::string &queue) const;
     const queue_policy *queueOf(const scheduled_job &job) const;
     void respond(call_token token, wire::work_verdict::type verdict, std::string reason = {});
+    void refuse(call_token token, const std::string &reason, duration retryDelay);
     void respondWithState(call_token token, const scheduled_job &job);
     void respondWhenRecorded(call_token token, const scheduled_job &job);
     void addDecision(std::string decision, const std::string &job, std::string task = {}, std::string executor = {}, std::string inputs = {});
@@ -203,21 +206,34 @@
     std::int64_t grantLease(executor_state &executor, time_point now) const;
     order_target targetOf(const executor_state &executor) const;
     std::optional<poll_order> makePoll(executor_state &executor, time_point now);
+    bool needsPromptList(const executor_state &executor);
     void checkExecutor(executor_state &executor, time_point now);
+    bool hasOrdersToRepeat(const executor_state &executor);
     void dropIdleExecutors();
     void removeExpiredJobs(wall_time wallNow);
 
+    void acknowledgeUnrecordedEnds();
+
     // evacuation
     void evacuate(executor_state &executor, time_point now);
     bool isAvailable(const scheduled_task &task) const;
     bool isDisruptionAllowed(scheduled_job &job, const task_id &taskId);
     bool hasAlternativeExecutor(scheduled_job &job, const task_id &taskId, const executor_state &from, time_point now);
 
+    // admission
+    std::optional<duration> findRetryDelay(const std::string &job, const wire::work_record &work, const queue_policy &queue);
+    void updateAdmission(time_point now);
+    void measureDecisionInterval(time_point now);
+    void addWaitingWork(service_load &load, const scheduled_job &job) const;
+    double runTimeRatio(const std::string &queue) const;
+
     // placement
     void place(time_point now, wall_time wallNow);
-    std::vector<ranked_job> rankJobs(wall_time wallNow) const;
+    std::vector<ranked_job> rankWaitingJobs(wall_time wallNow) const;
+    int latenessOf(const scheduled_job &job, const queue_policy &queue, wall_time wallNow) const;
     void addDemand(service_demand &demand, const scheduled_job &job) const;
     void placeJob(const ranked_job &ranked, time_point now, wall_time wallNow);
+    static bool hasWaitingTasks(const scheduled_job &job);
     void placeStep(scheduled_job &job, service_candidates &candidates, int occurrence, int step, time_point now);
     void placeGang(scheduled_job &job, service_candidates &candidates, int occurrence, int step, time_point now);
     executor_state *chooseExecutor(scheduled_job &job, service_candidates &candidates, const task_id &taskId);
@@ -242,9 +258,14 @@
     std::vector<waiting_reply> m_recordingReplies; /**< Responses that wait for the unconfirmed batch. */
     std::vector<run_key> m_planned; /**< Runs for a later batch. */
     std::vector<run_key> m_recording; /**< Runs in the unconfirmed batch. */
+    std::vector<std::string> m_unrecordedEnds; /**< Executors with applied ends that are not recorded. */
     std::vector<std::pair<std::string, std::int64_t>> m_recordingEnds; /**< Executors and the number of their last end that the unconfirmed batch covers. */
     std::vector<std::string> m_removedJobs; /**< Jobs whose journal records are to be removed. */
     std::map<std::string, service_candidates> m_candidates; /**< By service, during one round of placement. */
+    admission_control m_admission;
+    time_point m_nextAdmissionUpdate{};
+    duration m_decisionInterval{}; /**< Between two calls of decide(), averaged. */
+    std::unordered_map<std::string, run_time_ratio> m_runTimeRatios; /**< By queue. */
     std::map<std::string, arrival_window> m_arrivals; /**< By service, in millicore-milliseconds. */
     time_point m_now{}; /**< Of the last lead() or decide(). */
     std::optional<time_point> m_resigned;
--- /dev/null
+++ b/src/scheduler/scheduler_admission.cpp
@@ -0,0 +1,87 @@
+#include "scheduler/scheduler.h"
+
+#include "scheduler/job_records.h"
+
+#include <algorithm>
+
+namespace parsleyglade {
+
+/** Returns the time after which the caller of a job may retry if the job would wait too long, or nothing if it should be accepted. Timed and
+    long-running jobs are always accepted, since their tasks do not have to start at once. */
+std::optional<duration> scheduler::findRetryDelay(const std::string &job, const wire::work_record &work, const queue_policy &queue)
+{
+    const bool isLongRunning = std::any_of(work.steps.begin(), work.steps.end(), [](const wire::step_record &step) { return step.longRunning; });
+    if (isLongRunning || work.repeatCount > 0) {
+        return std::nullopt;
+    }
+    const duration path = std::chrono::duration_cast<duration>(computeCriticalPath(work) * runTimeRatio(queue.name));
+    const duration slack = std::chrono::duration_cast<duration>(path * std::max(queue.stretch - 1.0, 0.0)) + std::chrono::milliseconds(queue.targetMilliseconds);
+    const auto admittedWait = std::chrono::duration_cast<duration>(slack * m_settings.admittedSlackShare);
+    const auto retryDelay = m_admission.findRetryDelay(queue.service, admittedWait, job);
+    if (retryDelay) {
+        const auto toText = [](duration time) {
+            return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+        };
+        addDecision("refuse", job, {}, {},
+                    "queue=" + queue.name + " expected-wait=" + toText(m_admission.expectedWait(queue.service)) + " slack=" + toText(slack)
+                        + " retry-after=" + toText(*retryDelay));
+    }
+    return retryDelay;
+}
+
+/** Measures how far apart the rounds of decisions are. An overloaded leader delays every job by several rounds. */
+void scheduler::measureDecisionInterval(time_point now)
+{
+    constexpr int smoothing = 8; // rounds over which the interval is averaged
+    m_decisionInterval += (std::min(now - m_now, m_settings.maximumDecisionInterval) - m_decisionInterval) / smoothing;
+    const duration excess = std::max(m_decisionInterval - m_settings.expectedDecisionInterval, duration::zero());
+    m_admission.setControlDelay(excess * m_settings.decisionRoundsPerJob);
+}
+
+double scheduler::runTimeRatio(const std::string &queue) const
+{
+    const auto found = m_runTimeRatios.find(queue);
+    return found == m_runTimeRatios.end() ? 1.0 : found->second.value();
+}
+
+/** Measures the work that waits for each service and the capacity of its executors. */
+void scheduler::updateAdmission(time_point now)
+{
+    if (now < m_nextAdmissionUpdate) {
+        return;
+    }
+    m_nextAdmissionUpdate = now + m_settings.admissionInterval;
+    std::map<std::string, service_load> loads;
+    for (const auto &[service, candidates] : m_candidates) {
+        for (const executor_state *executor : candidates.executors) {
+            loads[service].capacityMillicores += executor->description.capacity.cpuMillicores;
+        }
+    }
+    for (const scheduled_job *job : m_active) {
+        const queue_policy *queue = job->isLongRunning || job->mayHaveWaitingTasks ? queueOf(*job) : nullptr;
+        if (queue != nullptr) {
+            addWaitingWork(loads[queue->service], *job);
+        }
+    }
+    m_admission.update(std::move(loads));
+}
+
+void scheduler::addWaitingWork(service_load &load, const scheduled_job &job) const
+{
+    const double ratio = runTimeRatio(job.work.queue);
+    for (std::size_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
+        for (std::size_t step = 0; step < job.work.steps.size(); ++step) {
+            const wire::step_record &description = job.work.steps[step];
+            const std::int64_t perTaskMillicores = reservedBy(description).cpuMillicores;
+            if (description.longRunning) {
+                load.capacityMillicores -= perTaskMillicores * description.taskCount;
+            } else if (isStepReady(job, static_cast<int>(occurrence), static_cast<int>(step), m_wallNow)) {
+                const auto &tasks = job.occurrences[occurrence].steps[step].tasks;
+                const auto waiting = std::count_if(tasks.begin(), tasks.end(), [](const scheduled_task &task) { return task.isWaiting(); });
+                load.waitingMillicoreMilliseconds += ratio * static_cast<double>(waiting * perTaskMillicores * description.estimateMilliseconds);
+            }
+        }
+    }
+}
+
+} // namespace parsleyglade
--- a/src/scheduler/scheduler_batches.cpp
+++ b/src/scheduler/scheduler_batches.cpp
@@ -11,9 +11,7 @@
         return std::nullopt;
     }
     if (m_changed.empty() && m_removedJobs.empty() && m_changedHostRecords.empty()) {
-        for (auto &[id, executor] : m_executors) {
-            executor.endRecorded = executor.endApplied;
-        }
+        acknowledgeUnrecordedEnds();
         return std::nullopt;
     }
 
@@ -62,9 +60,9 @@
 
     m_recordingEnds.clear();
     if (m_changed.empty()) {
-        for (const auto &[id, executor] : m_executors) {
-            if (executor.endApplied > executor.endRecorded) {
-                m_recordingEnds.emplace_back(id, executor.endApplied);
+        for (const std::string &id : m_unrecordedEnds) {
+            if (const executor_state *executor = findExecutor(id)) {
+                m_recordingEnds.emplace_back(id, executor->endApplied);
             }
         }
     }
@@ -72,6 +70,17 @@
     return batch;
 }
 
+/** Marks all applied ends as recorded. @pre the journal has the state of every job */
+void scheduler::acknowledgeUnrecordedEnds()
+{
+    for (const std::string &id : std::exchange(m_unrecordedEnds, {})) {
+        const auto found = m_executors.find(id);
+        if (found != m_executors.end()) {
+            found->second.endRecorded = found->second.endApplied;
+        }
+    }
+}
+
 void scheduler::resign(time_point now)
 {
     m_resigned = now;
@@ -97,9 +106,13 @@
         const auto found = m_executors.find(id);
         if (found != m_executors.end() && found->second.endApplied >= end) {
             found->second.endRecorded = std::max(found->second.endRecorded, end);
-            found->second.nextPoll = std::min(found->second.nextPoll, now);
+            found->second.nextPoll = std::min(found->second.nextPoll, std::max(now, found->second.lastPollResponseAt + m_settings.pollSpacing));
         }
     }
+    std::erase_if(m_unrecordedEnds, [this](const std::string &id) {
+        const executor_state *executor = findExecutor(id);
+        return executor == nullptr || executor->endApplied <= executor->endRecorded;
+    });
     for (const waiting_reply &reply : m_recordingReplies) {
         m_actions.emplace_back(call_response{reply.token, reply.reply});
     }
--- a/src/scheduler/scheduler_ends.cpp
+++ b/src/scheduler/scheduler_ends.cpp
@@ -9,6 +9,9 @@
     if (entry.number <= executor.endApplied) {
         return;
     }
+    if (executor.endApplied == executor.endRecorded) {
+        m_unrecordedEnds.push_back(executor.description.id);
+    }
     executor.endApplied = entry.number;
 
     const run_key key{entry.task, entry.run};
@@ -19,6 +22,11 @@
     addDecision("end", entry.task.job, toText(entry.task), executor.description.id,
                 "run=" + std::to_string(entry.run) + " end=" + std::string(name(entry.end)) + " number=" + std::to_string(entry.number));
     scheduled_job &job = *findMutableJob(entry.task.job);
+    const wire::step_record &step = job.work.steps[static_cast<std::size_t>(entry.task.step)];
+    if (entry.end == run_end::done && !step.longRunning && run->phase == run_phase::running && run->startedAt != time_point{}) {
+        const auto measured = std::chrono::duration_cast<std::chrono::milliseconds>(now - run->startedAt).count();
+        m_runTimeRatios[job.work.queue].add(step.estimateMilliseconds, measured);
+    }
     releaseRun(key);
     applyEnd(job, entry.task, job.task(entry.task), entry, executor, now);
 }
--- a/src/scheduler/scheduler_executors.cpp
+++ b/src/scheduler/scheduler_executors.cpp
@@ -43,6 +43,7 @@
     executor.failedPolls = 0;
     executor.consecutiveFailures = 0;
     executor.nextPoll = now;
+    executor.nextCheck = now;
     executor.leaseExpiry = time_point{};
 }
 
@@ -103,6 +104,7 @@
                 run->phase = run_phase::stopping;
                 run->phaseStartedAt = now;
                 run->isOrderInFlight = false;
+                executor.nextCheck = now;
             }
             continue;
         }
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -149,6 +149,7 @@
         if (run.phase == run_phase::ordered) {
             run.phase = run_phase::unanswered;
             run.phaseStartedAt = now;
+            executor.nextCheck = now;
         }
         return;
     case order_result::fenced:
@@ -167,6 +168,7 @@
             // This order was not sent, but an earlier one may have been carried out, so the task may be running.
             run.phase = run_phase::unanswered;
             run.phaseStartedAt = now;
+            executor.nextCheck = now;
             return;
         }
         break;
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -24,9 +24,17 @@
 constexpr int fullPace = 100;
 constexpr int lowestPace = 10;
 
-bool isLongRunning(const scheduled_job &job)
+/** Time within which a job should finish, counted from its acceptance or its first due time, in milliseconds. */
+std::int64_t objectiveMilliseconds(const scheduled_job &job, const queue_policy &queue)
 {
-    return std::any_of(job.work.steps.begin(), job.work.steps.end(), [](const wire::step_record &step) { return step.longRunning; });
+    const auto criticalPath = std::chrono::duration_cast<std::chrono::milliseconds>(job.criticalPath).count();
+    return static_cast<std::int64_t>(queue.stretch * static_cast<double>(criticalPath)) + queue.targetMilliseconds;
+}
+
+/** Wall-clock time from which the objective of a job counts, in milliseconds. */
+std::int64_t objectiveStart(const scheduled_job &job)
+{
+    return std::max(job.work.acceptedMilliseconds, job.work.repeatCount > 0 ? job.work.startAtMilliseconds : 0);
 }
 
 } // namespace
@@ -39,9 +47,21 @@
             m_candidates[executor.description.service].executors.push_back(&executor);
         }
     }
-    for (const ranked_job &ranked : rankJobs(wallNow)) {
+    for (const ranked_job &ranked : rankWaitingJobs(wallNow)) {
         placeJob(ranked, now, wallNow);
+        ranked.job->mayHaveWaitingTasks = hasWaitingTasks(*ranked.job);
     }
+    updateAdmission(now);
+}
+
+bool scheduler::hasWaitingTasks(const scheduled_job &job)
+{
+    const auto hasWaiting = [](const scheduled_step &step) {
+        return !step.isDone() && std::any_of(step.tasks.begin(), step.tasks.end(), [](const scheduled_task &task) { return task.isWaiting(); });
+    };
+    return std::any_of(job.occurrences.begin(), job.occurrences.end(), [&](const scheduled_occurrence &occurrence) {
+        return std::any_of(occurrence.steps.begin(), occurrence.steps.end(), hasWaiting);
+    });
 }
 
 std::map<std::string, service_demand> scheduler::demands(time_point now)
@@ -51,11 +71,14 @@
     for (auto &[service, arrivals] : m_arrivals) {
         const double rate = arrivals.rate(now);
         const double rise = std::max(arrivals.slope(now), 0.0) * toSeconds(m_settings.demandHorizon);
-        result[service].inflowMillicores = static_cast<std::int64_t>((rate + std::min(rise, rate)) / millisecondsPerSecond);
+        // After a sudden rise the slope stays high for a while although the rate no longer grows.
+        const double highest = std::max(rate, arrivals.latestRate(now) * m_settings.latestRateMargin);
+        result[service].inflowMillicores = static_cast<std::int64_t>(std::min(rate + rise, highest) / millisecondsPerSecond);
     }
-    for (const ranked_job &ranked : rankJobs(m_wallNow)) {
-        if (ranked.lateness <= 1) {
-            addDemand(result[ranked.queue->service], *ranked.job);
+    for (const scheduled_job *job : m_active) {
+        const queue_policy *queue = queueOf(*job);
+        if (queue != nullptr && (job->isLongRunning || job->mayHaveWaitingTasks) && latenessOf(*job, *queue, m_wallNow) <= 1) {
+            addDemand(result[queue->service], *job);
         }
     }
     return result;
@@ -85,26 +108,29 @@
     }
 }
 
-std::vector<scheduler::ranked_job> scheduler::rankJobs(wall_time wallNow) const
+/** Returns how late a job is: 0 for on time, 1 for late, 2 for too late to be useful. */
+int scheduler::latenessOf(const scheduled_job &job, const queue_policy &queue, wall_time wallNow) const
+{
+    if (job.work.repeatCount > 0 || job.isLongRunning) {
+        return 0;
+    }
+    const std::int64_t elapsed = wallNow.time_since_epoch().count() - objectiveStart(job);
+    const std::int64_t objective = objectiveMilliseconds(job, queue);
+    return elapsed > uselessAfterObjectives * objective ? 2 : (elapsed > objective ? 1 : 0);
+}
+
+/** Ranks the jobs that may have a task to place. Jobs whose tasks all run or have ended are left out. */
+std::vector<scheduler::ranked_job> scheduler::rankWaitingJobs(wall_time wallNow) const
 {
     std::vector<ranked_job> ranking;
-    const std::int64_t now = wallNow.time_since_epoch().count();
     for (scheduled_job *job : m_active) {
-        const queue_policy *queue = queueOf(*job);
-        if (queue == nullptr) {
-            continue;
-        }
-        const auto criticalPath = std::chrono::duration_cast<std::chrono::milliseconds>(job->criticalPath).count();
-        const auto objective = static_cast<std::int64_t>(queue->stretch * static_cast<double>(criticalPath)) + queue->targetMilliseconds;
-        const std::int64_t startMilliseconds = std::max(job->work.acceptedMilliseconds, job->work.repeatCount > 0 ? job->work.startAtMilliseconds : 0);
-        ranked_job ranked{job, queue, isLongRunning(*job), 0, startMilliseconds + objective};
-        if (job->work.repeatCount == 0 && !ranked.isLongRunning) {
-            ranked.lateness = now > startMilliseconds + uselessAfterObjectives * objective ? 2 : (now > startMilliseconds + objective ? 1 : 0);
+        const queue_policy *queue = job->mayHaveWaitingTasks ? queueOf(*job) : nullptr;
+        if (queue != nullptr) {
+            ranking.push_back({job, queue, latenessOf(*job, *queue, wallNow), objectiveStart(*job) + objectiveMilliseconds(*job, *queue)});
         }
-        ranking.push_back(ranked);
     }
     const auto keyOf = [](const ranked_job &ranked) {
-        return std::tuple(ranked.queue->priority, !ranked.isLongRunning, ranked.lateness, ranked.dueMilliseconds);
+        return std::tuple(ranked.queue->priority, !ranked.job->isLongRunning, ranked.lateness, ranked.dueMilliseconds);
     };
     std::sort(ranking.begin(), ranking.end(), [&](const ranked_job &left, const ranked_job &right) {
         return keyOf(left) != keyOf(right) ? keyOf(left) < keyOf(right) : left.job->id < right.job->id;
--- a/src/scheduler/scheduler_polls.cpp
+++ b/src/scheduler/scheduler_polls.cpp
@@ -43,11 +43,7 @@
         order.leaseEnd = grantLease(executor, now);
     }
     const bool hasUnrecorded = executor.endApplied > executor.endRecorded;
-    const bool hasSettling = std::any_of(executor.runs.begin(), executor.runs.end(), [&](const run_key &key) {
-        const scheduled_run *run = findRun(key);
-        return run != nullptr && run->phase != run_phase::running;
-    });
-    if (executor.isSynchronised && executor.failedPolls == 0 && !executor.runs.empty() && !hasUnrecorded && !hasSettling) {
+    if (executor.isSynchronised && executor.failedPolls == 0 && !executor.runs.empty() && !hasUnrecorded && !needsPromptList(executor)) {
         order.wait = m_settings.pollWait;
     }
     executor.isPolling = true;
@@ -55,6 +51,15 @@
     return order;
 }
 
+/** Whether the next list of the executor's runs decides something, so that the executor must not delay it until a run ends. */
+bool scheduler::needsPromptList(const executor_state &executor)
+{
+    return std::any_of(executor.runs.begin(), executor.runs.end(), [this](const run_key &key) {
+        const scheduled_run *run = findRun(key);
+        return run != nullptr && (run->phase == run_phase::restored || run->phase == run_phase::unanswered || run->phase == run_phase::stopped);
+    });
+}
+
 void scheduler::handlePollResponse(const std::string &id, const poll_response &response, time_point sentAt, time_point now)
 {
     const auto found = m_executors.find(id);
@@ -94,7 +99,7 @@
     executor.isSynchronised = true;
 
     // The executor would respond immediately again with ends that are not recorded yet.
-    executor.nextPoll = executor.endApplied > executor.endRecorded ? now + m_settings.orderRetryDelay : now;
+    executor.nextPoll = now + (executor.endApplied > executor.endRecorded ? m_settings.orderRetryDelay : m_settings.pollSpacing);
     paceFillers(executor, now);
 }
 
--- a/src/scheduler/scheduler_runs.cpp
+++ b/src/scheduler/scheduler_runs.cpp
@@ -54,11 +54,11 @@
 
 void scheduler::decide(time_point now, wall_time wallNow)
 {
+    measureDecisionInterval(now);
     m_now = now;
     m_wallNow = wallNow;
     for (auto &[id, executor] : m_executors) {
         if (now >= executor.nextCheck) {
-            executor.nextCheck = now + m_settings.checkInterval;
             checkExecutor(executor, now);
         }
     }
@@ -71,11 +71,28 @@
     if (!executor.runs.empty() && executor.leaseExpiry != time_point{} && now > executor.leaseExpiry) {
         handleLostRuns(executor, run_loss::lapsed, now);
     }
+    executor.nextCheck = now + m_settings.idleCheckInterval; // stopRun() brings the next check forward
     stopStalledRuns(executor, now);
     repeatOrders(executor, now);
     if (executor.isEvacuating) {
         evacuate(executor, now);
     }
+    if (executor.isEvacuating || hasOrdersToRepeat(executor)) {
+        executor.nextCheck = std::min(executor.nextCheck, now + m_settings.checkInterval);
+    }
+}
+
+bool scheduler::hasOrdersToRepeat(const executor_state &executor)
+{
+    const auto mustRepeat = [this](const run_key &key) {
+        const scheduled_run *run = findRun(key);
+        return run != nullptr && (run->phase == run_phase::stopping || run->phase == run_phase::unanswered);
+    };
+    const auto mustBlock = [](const unanswered_start &order) {
+        return !order.isBlocked;
+    };
+    return std::any_of(executor.unansweredStarts.begin(), executor.unansweredStarts.end(), mustBlock)
+        || std::any_of(executor.runs.begin(), executor.runs.end(), mustRepeat);
 }
 
 } // namespace parsleyglade
--- a/src/scheduler/scheduler_settings.h
+++ b/src/scheduler/scheduler_settings.h
@@ -10,7 +10,9 @@
     duration lease = std::chrono::milliseconds{3000}; /**< Lease of the runs on an executor. Long enough to outlast a change of leader. */
     duration pollWait = std::chrono::milliseconds{800}; /**< Long poll: how long an executor may delay its response. Less than a third of the lease. */
     duration pollRetryDelay = std::chrono::milliseconds{300}; /**< Delay after a failed poll. */
-    duration checkInterval = std::chrono::milliseconds{25}; /**< Between two checks of the leases, stalled runs and orders of an executor. */
+    duration pollSpacing = std::chrono::milliseconds{30}; /**< Minimum time from a response to the next poll, so that one poll reports several ends. */
+    duration checkInterval = std::chrono::milliseconds{25}; /**< Between two checks of an executor with orders to repeat or runs to evacuate. */
+    duration idleCheckInterval = std::chrono::milliseconds{200}; /**< Between two checks of the lease and progress on other executors. */
     duration orderRetryDelay = std::chrono::milliseconds{300}; /**< Delay before an order without a response is repeated. */
     duration lateOrderTimeout
         = std::chrono::milliseconds{12'500}; /**< How long after it was sent an order without a response may still be carried out, also by a later boot. */
@@ -24,7 +26,13 @@
     duration retention = std::chrono::seconds{180}; /**< How long the state of a finished job is retained. */
     std::size_t maximumJobs = 20'000; /**< Maximum number of unfinished jobs, above which submissions are refused. */
     std::size_t maximumBatchBytes = std::size_t{512} * 1024; /**< No further job is added to a batch that has reached this size. */
-    duration refusalDelay = std::chrono::seconds{2}; /**< Delay after which a refused caller may retry. */
+    duration refusalDelay = std::chrono::seconds{2}; /**< Delay after which a caller may retry when there are too many unfinished jobs. */
+    duration admissionInterval = std::chrono::milliseconds{50}; /**< Between two measurements of the work that waits for each service. */
+    duration expectedDecisionInterval = std::chrono::milliseconds{50}; /**< Longest time between two rounds of decisions unless the leader is overloaded. */
+    duration maximumDecisionInterval = std::chrono::seconds{1}; /**< A longer time between two rounds counts as this. */
+    int decisionRoundsPerJob = 4; /**< Rounds that a job waits for: acceptance, start, end of a step, and start of the next step. */
+    double admittedSlackShare = 0.6; /**< Share of a job's slack that it may wait for capacity: estimates err, and later steps wait as well. */
+    double latestRateMargin = 1.2; /**< A rising demand is not extrapolated beyond this multiple of the latest arrival rate. */
     duration arrivalWindow = std::chrono::milliseconds{2000}; /**< Window over which the trend of arriving work is measured; its newer half gives the rate. */
     duration demandHorizon = std::chrono::milliseconds{1800}; /**< Time ahead to which demand is extrapolated: the time that a move of a host takes. */
     duration paceInterval = std::chrono::milliseconds{500}; /**< Minimum time between two changes of the pace of a task. */
--- /dev/null
+++ b/tools/measure-scheduler/scheduler_run.cpp
@@ -0,0 +1,229 @@
+#include "scheduler_run.h"
+
+#include <ctime>
+
+namespace parsleyglade {
+
+namespace {
+
+constexpr int busyQueues = 4; // a fifth service has the spare pool
+constexpr double jobsPerExecutorSecond = 0.128;
+constexpr int executorsPerLongRunningTask = 1;
+constexpr int tasksPerLongRunningJob = 24;
+constexpr int tasksPerStep = 8;
+constexpr double burstFactor = 4.0;
+constexpr double idleFactor = 0.05;
+constexpr duration burstLength = std::chrono::milliseconds{4500};
+constexpr duration turn = std::chrono::milliseconds{4};
+constexpr duration journalDelay = std::chrono::milliseconds{6};
+constexpr duration executorDelay = std::chrono::milliseconds{2};
+constexpr std::int64_t runMilliseconds = 900;
+
+double processorSeconds()
+{
+    timespec time{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    constexpr double nanosecondsPerSecond = 1e9;
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) / nanosecondsPerSecond;
+}
+
+/** Adds the processor time of its scope to a cost. */
+class cost_scope
+{
+public:
+    explicit cost_scope(work_cost &cost)
+        : m_cost(cost)
+        , m_startedAt(processorSeconds())
+    {
+        ++m_cost.calls;
+    }
+    cost_scope(const cost_scope &) = delete;
+    cost_scope &operator=(const cost_scope &) = delete;
+    ~cost_scope()
+    {
+        m_cost.seconds += processorSeconds() - m_startedAt;
+    }
+
+private:
+    work_cost &m_cost;
+    double m_startedAt;
+};
+
+std::string nameOf(const char *prefix, int number)
+{
+    return prefix + std::to_string(number);
+}
+
+} // namespace
+
+scheduler_run::scheduler_run(run_settings settings)
+    : m_settings(settings)
+    , m_fleet(executorDelay)
+    , m_random(settings.seed)
+    , m_dueJobs(busyQueues, 0.0)
+{
+}
+
+run_report scheduler_run::measure()
+{
+    setUp();
+    for (time_point now = m_start; now < m_start + m_settings.length; now += turn) {
+        submitJobs(now);
+        for (const start_delivery &delivery : std::exchange(m_startResponses, {})) {
+            const cost_scope cost(m_report.startResponse);
+            m_scheduler.handleStartResponse(delivery.order, delivery.response, delivery.sentAt, now);
+        }
+        for (const poll_delivery &delivery : m_fleet.advance(now)) {
+            const cost_scope cost(m_report.pollResponse);
+            m_scheduler.handlePollResponse(delivery.executor, delivery.response, delivery.sentAt, now);
+        }
+        {
+            const cost_scope cost(m_report.decide);
+            m_scheduler.decide(now, wall(now));
+        }
+        exchangeBatches(now);
+        carryOutActions(now);
+        std::vector<poll_order> polls;
+        {
+            const cost_scope cost(m_report.takePolls);
+            polls = m_scheduler.takePolls(now);
+        }
+        m_report.polls += polls.size();
+        for (const poll_order &poll : polls) {
+            m_fleet.poll(poll, now);
+        }
+    }
+    return m_report;
+}
+
+void scheduler_run::setUp()
+{
+    queue_configuration configuration;
+    configuration.version = 1;
+    for (int number = 0; number <= busyQueues; ++number) {
+        configuration.services.push_back({nameOf("service-", number), false, number == busyQueues});
+        queue_policy queue;
+        queue.name = nameOf("queue-", number);
+        queue.service = nameOf("service-", number);
+        queue.stretch = 1.6;
+        queue.targetMilliseconds = 600;
+        queue.maximumAttempts = 3;
+        configuration.queues.push_back(queue);
+    }
+    m_scheduler.setConfiguration(configuration);
+    m_scheduler.lead(1, m_start, wall(m_start));
+    for (int number = 0; number < m_settings.executors; ++number) {
+        executor_description description;
+        description.id = nameOf("executor-", number);
+        description.boot = 1;
+        description.address = description.id;
+        description.service = nameOf("service-", number % (busyQueues + 1));
+        description.capacity = {16'000, 32'768, 0};
+        description.clockMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(m_start.time_since_epoch()).count();
+        m_scheduler.updateExecutor(description, m_start);
+        m_fleet.add(description);
+    }
+    const int longRunningJobs = m_settings.executors / executorsPerLongRunningTask / tasksPerLongRunningJob;
+    for (int number = 0; number < longRunningJobs; ++number) {
+        submitJob(nameOf("queue-", number % busyQueues), true, m_start);
+    }
+}
+
+double scheduler_run::arrivalRate(int queue, time_point now) const
+{
+    const double mean = jobsPerExecutorSecond * m_settings.executors / busyQueues;
+    if (!m_settings.bursts) {
+        return mean;
+    }
+    return mean * ((now - m_start) / burstLength % busyQueues == queue ? burstFactor : idleFactor);
+}
+
+void scheduler_run::submitJobs(time_point now)
+{
+    for (int queue = 0; queue < busyQueues; ++queue) {
+        double &due = m_dueJobs[static_cast<std::size_t>(queue)];
+        due += arrivalRate(queue, now) * toSeconds(turn);
+        for (; due >= 1.0; due -= 1.0) {
+            submitJob(nameOf("queue-", queue), false, now);
+        }
+    }
+}
+
+void scheduler_run::submitJob(const std::string &queue, bool isLongRunning, time_point now)
+{
+    wire::work_record work;
+    work.queue = queue;
+    wire::step_record step;
+    step.taskCount = isLongRunning ? tasksPerLongRunningJob : tasksPerStep;
+    step.demand.cpuMillicores = std::uniform_int_distribution<std::int64_t>(1'500, 3'000)(m_random);
+    step.demand.memoryMegabytes = isLongRunning ? 6'000 : 3'000;
+    step.estimateMilliseconds = runMilliseconds;
+    step.longRunning = isLongRunning;
+    step.maximumPerExecutor = isLongRunning ? 1 : 0;
+    step.maximumAway = isLongRunning ? 3 : 0;
+    work.steps.push_back(step);
+    if (!isLongRunning) {
+        step.after = {0};
+        work.steps.push_back(step);
+    }
+    const std::string job = "job-" + std::to_string(m_jobNumber++);
+    if (!isLongRunning) {
+        m_waitingJobs[job] = now;
+    }
+    ++m_report.acceptedJobs;
+    const cost_scope cost(m_report.submit);
+    m_scheduler.submit(m_jobNumber, job, std::move(work), wall(now));
+}
+
+void scheduler_run::exchangeBatches(time_point now)
+{
+    const cost_scope cost(m_report.batch);
+    if (m_unconfirmedBatch != 0 && now >= m_confirmedAt) {
+        m_scheduler.confirmBatch(std::exchange(m_unconfirmedBatch, 0), now);
+    }
+    if (m_unconfirmedBatch != 0) {
+        return;
+    }
+    if (const auto batch = m_scheduler.takeBatch()) {
+        m_unconfirmedBatch = batch->number;
+        m_confirmedAt = now + journalDelay;
+        ++m_report.batches;
+        for (const journal_entry &entry : batch->entries) {
+            m_report.journalBytes += entry.key.size() + entry.value.size();
+        }
+    }
+}
+
+void scheduler_run::carryOutActions(time_point now)
+{
+    std::vector<scheduler_action> actions;
+    {
+        const cost_scope cost(m_report.actions);
+        actions = m_scheduler.takeActions();
+    }
+    for (const scheduler_action &action : actions) {
+        const auto *start = std::get_if<start_order>(&action);
+        if (start == nullptr) {
+            continue;
+        }
+        ++m_report.startedTasks;
+        const auto waiting = m_waitingJobs.find(start->task.job);
+        if (waiting != m_waitingJobs.end()) {
+            m_report.startDelays.push_back(now - waiting->second);
+            m_waitingJobs.erase(waiting);
+        }
+        const bool isLongRunning = m_scheduler.findJob(start->task.job)->work.steps.front().longRunning;
+        const double factor = std::uniform_real_distribution<double>(0.5, 1.5)(m_random);
+        const duration runTime = isLongRunning
+            ? std::chrono::duration_cast<duration>(std::chrono::hours{1})
+            : std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(static_cast<double>(runMilliseconds) * factor));
+        m_startResponses.push_back({*start, m_fleet.start(*start, runTime, now), now});
+    }
+}
+
+wall_time scheduler_run::wall(time_point now) const
+{
+    return wall_time(std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()));
+}
+
+} // namespace parsleyglade
