--- a/src/control/entry_host_settings.cpp
+++ b/src/control/entry_host_settings.cpp
@@ -42,9 +42,10 @@
 
     std::vector<failure> failures;
     json_checker checker(*document, failures);
-    checker.checkObject({"entryHost", "dataCentre", "region", "callerAddress", "readinessAddress", "peerAddress", "storeAddress", "sharedKey",
-                         "gracePeriodSeconds", "maximumLeaseMilliseconds", "hostOrderLeaseMilliseconds"},
-                        {"hostServiceAddress", "adviceAddress", "metricsAddress", "logLevel", "processorShare", "maximumDescriptors", "configurationBoundMilliseconds"});
+    checker.checkObject(
+        {"entryHost", "dataCentre", "region", "callerAddress", "readinessAddress", "peerAddress", "storeAddress", "sharedKey", "gracePeriodSeconds",
+         "maximumLeaseMilliseconds", "hostOrderLeaseMilliseconds"},
+        {"hostServiceAddress", "adviceAddress", "metricsAddress", "logLevel", "processorShare", "maximumDescriptors", "configurationBoundMilliseconds"});
 
     entry_host_settings settings;
     settings.entryHost = checker.member("entryHost").identifier(maximumName);
--- a/src/scheduler/admission_control.h
+++ b/src/scheduler/admission_control.h
@@ -33,7 +33,8 @@
     /** Sets the delay that the control path adds to each job at its present load. */
     void setControlDelay(duration delay);
 
-    /** Returns the time that new work of the service waits for capacity and for the control path; that for capacity is zero if nothing is known about the service. */
+    /** Returns the time that new work of the service waits for capacity and for the control path; that for capacity is zero if nothing is known about the
+     * service. */
     duration expectedWait(const std::string &service) const;
 
     /** Decides about a job. @param slack longest wait with which the job still meets its objective
--- a/src/scheduler/scheduler_admission.cpp
+++ b/src/scheduler/scheduler_admission.cpp
@@ -15,7 +15,8 @@
         return std::nullopt;
     }
     const duration path = std::chrono::duration_cast<duration>(computeCriticalPath(work) * runTimeRatio(queue.name));
-    const duration slack = std::chrono::duration_cast<duration>(path * std::max(queue.stretch - 1.0, 0.0)) + std::chrono::milliseconds(queue.targetMilliseconds);
+    const duration slack
+        = std::chrono::duration_cast<duration>(path * std::max(queue.stretch - 1.0, 0.0)) + std::chrono::milliseconds(queue.targetMilliseconds);
     const auto admittedWait = std::chrono::duration_cast<duration>(slack * m_settings.admittedSlackShare);
     const auto retryDelay = m_admission.findRetryDelay(queue.service, admittedWait, job);
     if (retryDelay) {
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -66,9 +66,8 @@
     const auto hasWaiting = [](const scheduled_step &step) {
         return !step.isDone() && std::any_of(step.tasks.begin(), step.tasks.end(), [](const scheduled_task &task) { return task.isWaiting(); });
     };
-    return std::any_of(job.occurrences.begin(), job.occurrences.end(), [&](const scheduled_occurrence &occurrence) {
-        return std::any_of(occurrence.steps.begin(), occurrence.steps.end(), hasWaiting);
-    });
+    return std::any_of(job.occurrences.begin(), job.occurrences.end(),
+                       [&](const scheduled_occurrence &occurrence) { return std::any_of(occurrence.steps.begin(), occurrence.steps.end(), hasWaiting); });
 }
 
 std::map<std::string, service_demand> scheduler::demands(time_point now)
