Do not send an order after the leadership lease under which it was given

Cause (read in the code): an order waits in the adapter while two orders to its executor are in flight, and was sent when they were answered, without another look at the lease. A leader that had been paused, or whose executor was slow, sent it after its permission had run out. Change: orders carry the end of the lease and are reported as not sent after it. Test: executor_orders_test.cpp; without the check the executor receives three orders.

--- a/src/control/leader_task.cpp
+++ b/src/control/leader_task.cpp
@@ -192,6 +192,11 @@
     return !m_hasEnded && journalAge() < m_settings.scheduling.leadershipLease;
 }
 
+time_point leader_task::leadershipLeaseEnd() const
+{
+    return m_journal.lastConfirmed() + m_settings.scheduling.leadershipLease;
+}
+
 void leader_task::scheduleRun()
 {
     if (m_isRunScheduled || m_hasEnded) {
@@ -273,8 +278,10 @@
         [this](auto &item) {
             using item_type = std::decay_t<decltype(item)>;
             if constexpr (std::is_same_v<item_type, start_order>) {
+                item.target.validUntil = leadershipLeaseEnd();
                 sendStart(item);
             } else if constexpr (std::is_same_v<item_type, stop_order>) {
+                item.target.validUntil = leadershipLeaseEnd();
                 if (hasLeadershipLease()) {
                     m_platform.executors.stop(item, [this, order = item, alive = alive()](const order_response &response) {
                         if (alive.lock()) {
@@ -286,6 +293,7 @@
                     m_scheduler->handleStopResponse(item, order_response{}, m_loop.now());
                 }
             } else if constexpr (std::is_same_v<item_type, pace_order>) {
+                item.target.validUntil = leadershipLeaseEnd();
                 if (hasLeadershipLease()) {
                     m_platform.executors.pace(item, [](const order_response &) {
                         // The next poll returns the pace in force; the scheduler repeats the order if it was not applied.
--- a/src/control/leader_task.h
+++ b/src/control/leader_task.h
@@ -82,6 +82,7 @@
     void handleRegistryRecord(const store_record &record);
     void end(const std::string &reason);
     bool hasLeadershipLease() const;
+    time_point leadershipLeaseEnd() const;
     std::weak_ptr<bool> alive() const;
 
     event_loop &m_loop;
--- /dev/null
+++ b/tests/platform/executor_orders_test.cpp
@@ -0,0 +1,105 @@
+#include "platform_executors.h"
+#include "runtime/event_loop.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <catch2/catch.hpp>
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <memory>
+#include <netinet/in.h>
+#include <string>
+#include <sys/socket.h>
+#include <vector>
+
+using namespace parsleyglade;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct server_deleter
+{
+    void operator()(evhttp *server) const
+    {
+        evhttp_free(server);
+    }
+};
+
+/** An executor that holds each request until the test releases it. */
+class holding_executor
+{
+public:
+    explicit holding_executor(event_loop &loop)
+        : m_server(evhttp_new(loop.base()))
+    {
+        evhttp_bound_socket *socket = evhttp_bind_socket_with_handle(m_server.get(), "127.0.0.1", 0);
+        REQUIRE(socket != nullptr);
+        sockaddr_in address{};
+        socklen_t size = sizeof address;
+        ::getsockname(evhttp_bound_socket_get_fd(socket), reinterpret_cast<sockaddr *>(&address), &size);
+        m_address = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+        evhttp_set_gencb(
+            m_server.get(),
+            [](evhttp_request *request, void *argument) {
+                auto *self = static_cast<holding_executor *>(argument);
+                ++self->m_received;
+                self->m_held.push_back(request);
+            },
+            this);
+    }
+
+    const std::string &address() const
+    {
+        return m_address;
+    }
+
+    int received() const
+    {
+        return m_received;
+    }
+
+    void release()
+    {
+        for (evhttp_request *request : std::exchange(m_held, {})) {
+            evhttp_send_reply(request, 200, "OK", nullptr);
+        }
+    }
+
+private:
+    std::unique_ptr<evhttp, server_deleter> m_server;
+    std::string m_address;
+    int m_received = 0;
+    std::vector<evhttp_request *> m_held;
+};
+
+} // namespace
+
+// Guards against orders that a deposed leader sends after a pause or a slow executor: they waited in the queue of the executor while the leadership
+// lease under which they were given expired.
+TEST_CASE("an order that has waited beyond the leadership lease is not sent")
+{
+    event_loop loop;
+    holding_executor server(loop);
+    platform_executors executors(loop, 16);
+    std::vector<order_result> results;
+    for (int number = 0; number < 3; ++number) {
+        stop_order order;
+        order.target.executor = "executor";
+        order.target.address = server.address();
+        order.target.validUntil = loop.now() + 100ms;
+        order.task = {"job", 0, 0, number};
+        order.run = 1;
+        executors.stop(order, [&](const order_response &response) {
+            results.push_back(response.result);
+            if (results.size() == 3) {
+                loop.stop();
+            }
+        });
+    }
+    const auto release = loop.after(200ms, [&server] { server.release(); });
+    const auto timeout = loop.after(5s, [&loop] { loop.stop(); });
+    loop.run();
+    REQUIRE(results.size() == 3);
+    CHECK(server.received() == 2);
+    CHECK(std::count(results.begin(), results.end(), order_result::not_sent) == 1);
+}
