--- a/tools/measure-scheduler/fleet_model.cpp
+++ b/tools/measure-scheduler/fleet_model.cpp
@@ -17,7 +17,7 @@
 {
     modelled_executor &executor = m_executors.at(order.target.executor);
     const time_point end = now + m_delay + runTime;
-    executor.running[{order.task, order.run}] = end;
+    executor.running.push_back({order.task, order.run});
     m_ends.push({end, order.target.executor, order.task, order.run});
     return {order_result::done, clock(now)};
 }
@@ -35,7 +35,10 @@
         const run_end_event event = m_ends.top();
         m_ends.pop();
         modelled_executor &executor = m_executors.at(event.executor);
-        if (executor.running.erase({event.task, event.run}) > 0) {
+        const auto isEnded = [&event](const modelled_run &run) {
+            return run.task == event.task && run.run == event.run;
+        };
+        if (std::erase_if(executor.running, isEnded) > 0) {
             executor.finished.push_back({++executor.lastNumber, event.task, event.run, run_end::done, {}});
         }
     }
@@ -63,9 +66,9 @@
     delivery.response.result = order_result::done;
     delivery.response.boot = executor.description.boot;
     delivery.response.clockMilliseconds = clock(now);
-    for (const auto &[key, end] : executor.running) {
+    for (const modelled_run &run : executor.running) {
         constexpr int startUpComplete = 100;
-        delivery.response.running.push_back({key.first, key.second, {}, startUpComplete, 0});
+        delivery.response.running.push_back({run.task, run.run, {}, startUpComplete, 0});
     }
     delivery.response.finished = executor.finished;
     executor.pending.reset();
--- a/tools/measure-scheduler/fleet_model.h
+++ b/tools/measure-scheduler/fleet_model.h
@@ -3,7 +3,6 @@
 #include "scheduler/executor_description.h"
 #include "scheduler/executor_orders.h"
 
-#include <map>
 #include <optional>
 #include <queue>
 #include <string>
@@ -45,10 +44,16 @@
         time_point waitEnd{};
     };
 
+    struct modelled_run
+    {
+        task_id task;
+        int run = 0;
+    };
+
     struct modelled_executor
     {
         executor_description description;
-        std::map<std::pair<task_id, int>, time_point> running; /**< End time by task and number of the run. */
+        std::vector<modelled_run> running;
         std::vector<finished_entry> finished;
         std::int64_t lastNumber = 0;
         std::optional<pending_poll> pending;
--- a/tools/measure-scheduler/scheduler_run.cpp
+++ b/tools/measure-scheduler/scheduler_run.cpp
@@ -174,7 +174,7 @@
     }
     ++m_report.acceptedJobs;
     const cost_scope cost(m_report.submit);
-    m_scheduler.submit(m_jobNumber, job, std::move(work), wall(now));
+    m_scheduler.submit(m_jobNumber, job, work, wall(now));
 }
 
 void scheduler_run::exchangeBatches(time_point now)
