--- a/src/scheduler/pool_planner.h
+++ b/src/scheduler/pool_planner.h
@@ -20,8 +20,7 @@
     duration backlogTime = std::chrono::milliseconds{1500}; /**< Time in which a pool should process its backlog. */
     duration moveTimeout = std::chrono::seconds{6}; /**< A move that the host list does not show after this time is treated as failed. */
     duration minimumStay = std::chrono::milliseconds{2500}; /**< Minimum time that a host stays in a pool after its move. */
-    double maximumMovingShare = 0.3; /**< Share of all hosts that may be moving at a time. A moving host serves nobody, and each costs the leader work. */
-    std::size_t minimumMovingHosts = 16; /**< This many hosts may be moving at a time, however small the fleet. */
+    std::size_t maximumMovingHosts = 100; /**< At a time. A moving host serves nobody, and each move costs the leader several exchanges. */
     int minimumHosts = 2; /**< Lower bound for the hosts of a pool that is not a standby pool. */
 };
 
