Refuse for want of capacity only what would be useless; extrapolate demand as before

Change: the wait for capacity is bounded by three objectives, after which a job is useless; the limit of 0.6 of the slack stays for the delay of an overloaded control path, which is zero on the small sites. The extrapolation by the slope is again as before. Test: the case of three times the capacity checks a bounded backlog in place of jobs on time, since that is no longer the policy; refusals, losses and completion as before.

--- a/src/scheduler/admission_control.cpp
+++ b/src/scheduler/admission_control.cpp
@@ -29,19 +29,25 @@
     m_controlDelay = delay;
 }
 
+duration admission_control::controlDelay() const
+{
+    return m_controlDelay;
+}
+
 duration admission_control::expectedWait(const std::string &service) const
 {
     const auto found = m_loads.find(service);
     if (found == m_loads.end() || found->second.capacityMillicores <= 0) {
-        return m_controlDelay;
+        return duration::zero();
     }
     const std::chrono::duration<double, std::milli> wait{found->second.waitingMillicoreMilliseconds / static_cast<double>(found->second.capacityMillicores)};
-    return std::chrono::duration_cast<duration>(wait) + m_controlDelay;
+    return std::chrono::duration_cast<duration>(wait);
 }
 
-std::optional<duration> admission_control::findRetryDelay(const std::string &service, duration slack, const std::string &caller) const
+std::optional<duration> admission_control::findRetryDelay(const std::string &service, duration capacityLimit, duration controlLimit,
+                                                          const std::string &caller) const
 {
-    const duration excess = expectedWait(service) - slack;
+    const duration excess = std::max(expectedWait(service) - capacityLimit, m_controlDelay - controlLimit);
     if (excess <= duration::zero()) {
         return std::nullopt;
     }
--- a/src/scheduler/admission_control.h
+++ b/src/scheduler/admission_control.h
@@ -17,9 +17,9 @@
 };
 
 /**
- * Decides which submissions to refuse during a burst that exceeds the capacity of a pool. Accepting them all makes most jobs late: each waits
- * behind work that has become late itself. A job whose expected wait exceeds the slack of its objective is refused at once, with the time after
- * which the backlog will have shrunk enough.
+ * Decides which submissions to refuse during a burst. A job that would wait for capacity until it is useless to its caller is refused at once, with
+ * the time after which the backlog will have shrunk enough. So is a job that an overloaded control path would delay beyond its objective: accepting
+ * it would delay all others as well, although executors are free.
  */
 class admission_control
 {
@@ -33,14 +33,17 @@
     /** Sets the delay that the control path adds to each job at its present load. */
     void setControlDelay(duration delay);
 
-    /** Returns the time that new work of the service waits for capacity and for the control path; that for capacity is zero if nothing is known about the
+    /** Returns the time that new work of the service waits for capacity; zero if nothing is known about the
      * service. */
     duration expectedWait(const std::string &service) const;
 
-    /** Decides about a job. @param slack longest wait with which the job still meets its objective
+    /** Decides about a job. @param capacityLimit longest wait for capacity after which the job is still useful to its caller
+        @param controlLimit longest delay of the control path with which the job still meets its objective
         @param caller any text of the caller's; spreads the returns of different callers
         @return the time after which the caller may retry, or nothing if the job should be accepted */
-    std::optional<duration> findRetryDelay(const std::string &service, duration slack, const std::string &caller) const;
+    std::optional<duration> findRetryDelay(const std::string &service, duration capacityLimit, duration controlLimit, const std::string &caller) const;
+
+    duration controlDelay() const;
 
 private:
     duration m_controlDelay{};
--- a/src/scheduler/arrival_window.h
+++ b/src/scheduler/arrival_window.h
@@ -32,14 +32,6 @@
         return static_cast<double>(sumSince(now - m_length / 2)) / toSeconds(m_length / 2);
     }
 
-    /** Returns the amount that arrives per second, averaged over the last quarter of the window. Noisier than rate(), but follows a sudden change
-        twice as fast. */
-    double latestRate(time_point now)
-    {
-        removeExpired(now);
-        return static_cast<double>(sumSince(now - m_length / 4)) / toSeconds(m_length / 4);
-    }
-
     /** Returns the change of the rate per second, as the difference of the two halves of the window; negative when the rate falls. */
     double slope(time_point now)
     {
--- a/src/scheduler/scheduler_admission.cpp
+++ b/src/scheduler/scheduler_admission.cpp
@@ -15,16 +15,17 @@
         return std::nullopt;
     }
     const duration path = std::chrono::duration_cast<duration>(computeCriticalPath(work) * runTimeRatio(queue.name));
-    const duration slack
-        = std::chrono::duration_cast<duration>(path * std::max(queue.stretch - 1.0, 0.0)) + std::chrono::milliseconds(queue.targetMilliseconds);
-    const auto admittedWait = std::chrono::duration_cast<duration>(slack * m_settings.admittedSlackShare);
-    const auto retryDelay = m_admission.findRetryDelay(queue.service, admittedWait, job);
+    const duration objective = std::chrono::duration_cast<duration>(path * queue.stretch) + std::chrono::milliseconds(queue.targetMilliseconds);
+    const duration controlLimit = std::chrono::duration_cast<duration>((objective - path) * m_settings.admittedSlackShare);
+    const duration capacityLimit = objective * m_settings.uselessAfterObjectives - path;
+    const auto retryDelay = m_admission.findRetryDelay(queue.service, capacityLimit, controlLimit, job);
     if (retryDelay) {
         const auto toText = [](duration time) {
             return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
         };
         addDecision("refuse", job, {}, {},
-                    "queue=" + queue.name + " expected-wait=" + toText(m_admission.expectedWait(queue.service)) + " slack=" + toText(slack)
+                    "queue=" + queue.name + " expected-wait=" + toText(m_admission.expectedWait(queue.service)) + " wait-limit=" + toText(capacityLimit)
+                        + " control-delay=" + toText(m_admission.controlDelay()) + " delay-limit=" + toText(controlLimit)
                         + " retry-after=" + toText(*retryDelay));
     }
     return retryDelay;
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-// A job that takes longer than this many times its objective is no longer useful to its caller.
-constexpr std::int64_t uselessAfterObjectives = 3;
-
 // Placement costs, in millicores of unused capacity. Being on another rack than the data outweighs any fit.
 constexpr std::int64_t otherRackCost = 1'000'000;
 constexpr std::int64_t sameExecutorAgainCost = 500'000;
@@ -77,9 +74,7 @@
     for (auto &[service, arrivals] : m_arrivals) {
         const double rate = arrivals.rate(now);
         const double rise = std::max(arrivals.slope(now), 0.0) * toSeconds(m_settings.demandHorizon);
-        // After a sudden rise the slope stays high for a while although the rate no longer grows.
-        const double highest = std::max(rate, arrivals.latestRate(now) * m_settings.latestRateMargin);
-        result[service].inflowMillicores = static_cast<std::int64_t>(std::min(rate + rise, highest) / millisecondsPerSecond);
+        result[service].inflowMillicores = static_cast<std::int64_t>((rate + std::min(rise, rate)) / millisecondsPerSecond);
     }
     for (const scheduled_job *job : m_active) {
         const queue_policy *queue = queueOf(*job);
@@ -122,7 +117,7 @@
     }
     const std::int64_t elapsed = wallNow.time_since_epoch().count() - objectiveStart(job);
     const std::int64_t objective = objectiveMilliseconds(job, queue);
-    return elapsed > uselessAfterObjectives * objective ? 2 : (elapsed > objective ? 1 : 0);
+    return elapsed > m_settings.uselessAfterObjectives * objective ? 2 : (elapsed > objective ? 1 : 0);
 }
 
 /** Ranks the jobs that may have a task to place. Jobs whose tasks all run or have ended are left out. */
--- a/src/scheduler/scheduler_settings.h
+++ b/src/scheduler/scheduler_settings.h
@@ -32,8 +32,8 @@
     duration expectedDecisionInterval = std::chrono::milliseconds{50}; /**< Longest time between two rounds of decisions unless the leader is overloaded. */
     duration maximumDecisionInterval = std::chrono::seconds{1}; /**< A longer time between two rounds counts as this. */
     int decisionRoundsPerJob = 4; /**< Rounds that a job waits for: acceptance, start, end of a step, and start of the next step. */
-    double admittedSlackShare = 0.6; /**< Share of a job's slack that it may wait for capacity: estimates err, and later steps wait as well. */
-    double latestRateMargin = 1.2; /**< A rising demand is not extrapolated beyond this multiple of the latest arrival rate. */
+    double admittedSlackShare = 0.6; /**< Share of a job's slack that the control path may use up: the job waits for executors as well. */
+    int uselessAfterObjectives = 3; /**< A job that takes longer than this many times its objective is no longer useful to its caller. */
     duration arrivalWindow = std::chrono::milliseconds{2000}; /**< Window over which the trend of arriving work is measured; its newer half gives the rate. */
     duration demandHorizon = std::chrono::milliseconds{1800}; /**< Time ahead to which demand is extrapolated: the time that a move of a host takes. */
     duration paceInterval = std::chrono::milliseconds{500}; /**< Minimum time between two changes of the pace of a task. */
