--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -121,7 +121,7 @@
     void started(const std::string &task, int run, const std::string &executor);
     std::shared_ptr<run_end> ended(const std::string &task, int run, const std::string &executor, const std::string &how);
     void lostWithExecutor(const std::string &task, int run, const std::string &executor);
-    int countTwice(bool print);
+    int countTwice(bool print, const std::string &job = {}); /**< Of one job, or of all if it is empty. */
     std::size_t startCount() const;
     int failedEnds(const std::string &job) const; /**< Runs of the job's tasks that have ended failed. */
 
@@ -159,6 +159,7 @@
     bool start(); /**< Starts a new life under the same id. */
     void crash();
     void setCut(bool isCut); /**< While cut off it runs on, but receives and sends nothing; what was sent to it is lost. */
+    std::int64_t leaseLeft() const; /**< In milliseconds. */
     const settings &values() const;
 
 private:
