--- a/src/scheduler/scheduled_job.h
+++ b/src/scheduler/scheduled_job.h
@@ -23,6 +23,7 @@
     time_point orderedAt{}; /**< When the last start order was sent. */
     duration orderAge{}; /**< For a restored run whose previous leader resigned: minimum time between its last start order and the resignation. */
     bool isConfirmed = false; /**< The executor has confirmed the start, and no start order is in flight. */
+    bool isListed = false; /**< A poll response of the boot has listed the run. A start is confirmed without naming the boot. */
     bool isOrderInFlight = false; /**< A start or stop order is in flight. */
     time_point phaseStartedAt{}; /**< When the current phase began. */
     time_point startedAt{}; /**< When the confirmed start order was sent; for a restored run, when the executor first reported it. */
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -141,7 +141,6 @@
     /** Why the runs of an executor are considered lost. */
     enum class run_loss {
         lapsed, /**< The lease has expired. Orders in flight will be rejected as late, unless a new boot resets the clock. */
-        rebooted, /**< The executor restarted under the same id. The new boot accepts orders that were sent to the old one. */
         replaced, /**< Another executor responds at the address and does not accept orders for this one. */
     };
 
@@ -194,9 +193,12 @@
     void sendStop(const run_key &key, scheduled_run &run, time_point now);
     void handleNewBoot(executor_state &executor, std::int64_t boot, time_point now);
     void handleLostRuns(executor_state &executor, run_loss loss, time_point now);
+    void handleRunsOfEarlierBoot(executor_state &executor, time_point now);
+    void loseRun(const executor_state &executor, const run_key &key, std::string_view loss, time_point now);
+    void forgetEnds(executor_state &executor);
     void delayTask(const run_key &key, time_point until);
     void blockLateStarts(executor_state &executor, time_point now);
-    bool mayStillStart(const scheduled_run &run, run_loss loss, time_point now) const;
+    bool mayStillStart(const scheduled_run &run, time_point now) const;
     void repeatOrders(executor_state &executor, time_point now);
     void reconcile(executor_state &executor, const poll_response &response, time_point sentAt, time_point now);
     void reconcileMissing(executor_state &executor, const run_key &key, scheduled_run &run, time_point sentAt, time_point now);
--- a/src/scheduler/scheduler_executors.cpp
+++ b/src/scheduler/scheduler_executors.cpp
@@ -20,14 +20,15 @@
     updateClock(executor, description.clockMilliseconds, now);
 }
 
-/** Handles a new boot of an executor. It has none of the earlier runs, and its end numbers and its clock restart. */
+/** Handles a new boot of an executor. Its end numbers and its clock restart. */
 void scheduler::handleNewBoot(executor_state &executor, std::int64_t boot, time_point now)
 {
     const bool isFirst = executor.description.boot == 0;
     executor.description.boot = boot;
     executor.bootKnownAt = now;
     if (!isFirst) {
-        handleLostRuns(executor, run_loss::rebooted, now);
+        addDecision("new-boot", {}, {}, executor.description.id, "boot=" + std::to_string(boot) + " runs=" + std::to_string(executor.runs.size()));
+        handleRunsOfEarlierBoot(executor, now);
     }
     for (unanswered_start &order : executor.unansweredStarts) {
         order.isBlocked = false;
@@ -35,16 +36,52 @@
         delayTask(order.run, order.until);
     }
     blockLateStarts(executor, now);
+    forgetEnds(executor);
     executor.clockMilliseconds = 0;
-    executor.endApplied = 0;
-    executor.endRecorded = 0;
-    executor.endAcknowledged = 0;
     executor.isSynchronised = false;
     executor.failedPolls = 0;
     executor.consecutiveFailures = 0;
     executor.nextPoll = now;
     executor.nextCheck = now;
-    executor.leaseExpiry = time_point{};
+}
+
+/** Decides about the runs of an executor that has restarted under its id. A run died with the earlier boot only if a list of that boot had it. Any
+    other run may have been started on the new boot, which accepts orders that were meant for the earlier one; its next list tells. */
+void scheduler::handleRunsOfEarlierBoot(executor_state &executor, time_point now)
+{
+    const std::vector<run_key> runs = executor.runs;
+    for (const run_key &key : runs) {
+        scheduled_run *run = findRun(key);
+        if (run == nullptr || !mayExistOnExecutor(run->phase)) {
+            continue; // sendStart() releases a run that is still being recorded, because its boot no longer matches
+        }
+        const bool mayStart = mayStillStart(*run, now);
+        if (run->isListed && !mayStart) {
+            loseRun(executor, key, "rebooted", now);
+            continue;
+        }
+        run->boot = executor.description.boot;
+        run->isListed = false;
+        if (mayStart) {
+            // Once the new boot has confirmed a stop of the run, it rejects a late start order.
+            run->phase = run_phase::stopping;
+            run->phaseStartedAt = now;
+            run->isOrderInFlight = false;
+        }
+        addDecision("run-kept", key.task.job, toText(key.task), executor.description.id,
+                    "run=" + std::to_string(key.run) + " phase=" + std::string(name(run->phase)) + " boot=" + std::to_string(run->boot));
+        markChanged(*findMutableJob(key.task.job));
+    }
+}
+
+/** Forgets the numbers of the ends of an earlier boot, so that they acknowledge none of the next boot. */
+void scheduler::forgetEnds(executor_state &executor)
+{
+    executor.endApplied = 0;
+    executor.endRecorded = 0;
+    executor.endAcknowledged = 0;
+    executor.pollAcknowledges = 0;
+    std::erase_if(m_recordingEnds, [&executor](const auto &recording) { return recording.first == executor.description.id; });
 }
 
 void scheduler::removeExecutor(const std::string &id)
@@ -81,11 +118,8 @@
     return executor.clockMilliseconds + std::chrono::duration_cast<std::chrono::milliseconds>(granted).count();
 }
 
-bool scheduler::mayStillStart(const scheduled_run &run, run_loss loss, time_point now) const
+bool scheduler::mayStillStart(const scheduled_run &run, time_point now) const
 {
-    if (loss == run_loss::replaced) {
-        return false;
-    }
     return mayHaveStartInFlight(run) && now < run.orderedAt + m_settings.lateOrderTimeout;
 }
 
@@ -93,28 +127,21 @@
 {
     const std::vector<run_key> runs = executor.runs;
     for (const run_key &key : runs) {
-        scheduled_run *run = findRun(key);
-        if (run == nullptr || !mayExistOnExecutor(run->phase)) {
-            continue; // sendStart() releases a run that is still being recorded, because its boot no longer matches
-        }
-        if (mayStillStart(*run, loss, now)) {
-            if (loss == run_loss::rebooted) {
-                // Once the new boot has confirmed a stop of the run, it rejects a late start order.
-                run->boot = executor.description.boot;
-                run->phase = run_phase::stopping;
-                run->phaseStartedAt = now;
-                run->isOrderInFlight = false;
-                executor.nextCheck = now;
-            }
+        const scheduled_run *run = findRun(key);
+        if (run == nullptr || !mayExistOnExecutor(run->phase) || (loss == run_loss::lapsed && mayStillStart(*run, now))) {
             continue;
         }
-        addDecision("run-lost", key.task.job, toText(key.task), executor.description.id,
-                    "run=" + std::to_string(key.run) + " loss=" + std::to_string(static_cast<int>(loss)));
-        findMutableJob(key.task.job)->task(key.task).notBefore = now;
-        releaseRun(key);
+        loseRun(executor, key, loss == run_loss::lapsed ? "lapsed" : "replaced", now);
     }
 }
 
+void scheduler::loseRun(const executor_state &executor, const run_key &key, std::string_view loss, time_point now)
+{
+    addDecision("run-lost", key.task.job, toText(key.task), executor.description.id, "run=" + std::to_string(key.run) + " loss=" + std::string(loss));
+    findMutableJob(key.task.job)->task(key.task).notBefore = now;
+    releaseRun(key);
+}
+
 void scheduler::dropIdleExecutors()
 {
     std::erase_if(m_executors, [](const auto &entry) {
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -103,8 +103,10 @@
     const bool isClockReset = response.clockMilliseconds > 0 && response.clockMilliseconds + clockSlack < executor.clockMilliseconds;
     if (isClockReset) {
         // A new boot that the registry does not show yet. Its ends are numbered from the start again.
+        addDecision("clock-reset", order.task.job, toText(order.task), executor.description.id,
+                    "clock=" + std::to_string(response.clockMilliseconds) + " last=" + std::to_string(executor.clockMilliseconds));
         executor.isSynchronised = false;
-        executor.endApplied = executor.endRecorded = executor.endAcknowledged = 0;
+        forgetEnds(executor);
         executor.nextPoll = now;
     }
     updateClock(executor, response.clockMilliseconds, now);
--- a/src/scheduler/scheduler_polls.cpp
+++ b/src/scheduler/scheduler_polls.cpp
@@ -38,7 +38,7 @@
 
     poll_order order;
     order.target = targetOf(executor);
-    order.acknowledgedUpTo = executor.endRecorded;
+    order.acknowledgedUpTo = hasUnacknowledged ? executor.endRecorded : 0; // a boot that is not known yet would take the number as one of its own
     if (!executor.runs.empty() && executor.failedPolls == 0 && executor.clockMilliseconds > 0) {
         order.leaseEnd = grantLease(executor, now);
     }
@@ -73,6 +73,11 @@
     }
     executor_state &executor = found->second;
     executor.isPolling = false;
+    if (response.boot != 0 && response.boot < executor.description.boot) {
+        addDecision("stale-list", {}, {}, id, "boot=" + std::to_string(response.boot) + " known=" + std::to_string(executor.description.boot));
+        executor.nextPoll = now;
+        return;
+    }
     if (response.result == order_result::other_boot) {
         handleLostRuns(executor, run_loss::replaced, now);
         executor.isListed = false;
@@ -82,6 +87,10 @@
         m_isDeposed = true;
         return;
     }
+    if (response.result != order_result::done && sentAt < executor.bootKnownAt) {
+        executor.nextPoll = now; // it was sent to an earlier boot
+        return;
+    }
     if (response.result != order_result::done) {
         if (executor.failedPolls++ == 0) {
             addDecision("executor-lost", {}, {}, id, "result=" + std::string(name(response.result)) + " runs=" + std::to_string(executor.runs.size()));
@@ -117,6 +126,10 @@
     const std::vector<run_key> known = executor.runs;
     for (const running_entry &entry : response.running) {
         reconcileRunning(executor, entry, sentAt, now);
+        scheduled_run *run = findRun({entry.task, entry.run});
+        if (run != nullptr && run->executor == executor.description.id && response.boot == executor.description.boot) {
+            run->isListed = true;
+        }
     }
     if (response.finished.size() >= maximumListedEnds) {
         return;
--- a/tests/scheduler/scheduling_property_test.cpp
+++ b/tests/scheduler/scheduling_property_test.cpp
@@ -107,6 +107,27 @@
     checkSeeds(faults);
 }
 
+// Guards against beliefs about an earlier boot: the executors are back before the registry shows it, so that orders meant for the earlier boot reach the
+// next one, beside changes of leader.
+TEST_CASE("no task runs twice and none is lost when executors restart before the registry shows it", "[scheduler]")
+{
+    simulated_faults faults;
+    faults.lostResponse = 0.03;
+    faults.crashInterval = std::chrono::seconds{1};
+    faults.downTime = std::chrono::milliseconds{100};
+    faults.registryInterval = std::chrono::milliseconds{400};
+    SECTION("under one leader")
+    {
+        checkSeeds(faults);
+    }
+    SECTION("under changing leaders")
+    {
+        faults.takeoverInterval = std::chrono::seconds{3};
+        faults.predecessorContinues = true;
+        checkSeeds(faults);
+    }
+}
+
 TEST_CASE("no task runs twice when an order is carried out late by the next boot of its executor", "[scheduler]")
 {
     simulated_faults faults;
--- a/tests/scheduler/scheduling_simulation.cpp
+++ b/tests/scheduler/scheduling_simulation.cpp
@@ -10,7 +10,6 @@
 constexpr duration messageDelay = std::chrono::milliseconds{2};
 constexpr duration responseTimeout = std::chrono::milliseconds{1000};
 constexpr duration journalDelay = std::chrono::milliseconds{6};
-constexpr duration downTime = std::chrono::seconds{3};
 constexpr duration settleTime = std::chrono::seconds{13}; // longer than an order can be delayed
 constexpr duration callRetryDelay = std::chrono::milliseconds{500};
 constexpr duration cancelTimeout = std::chrono::seconds{3};
@@ -217,19 +216,31 @@
     std::advance(chosen, static_cast<std::ptrdiff_t>(m_random() % m_executors.size()));
     executor_model *executor = chosen->second.get();
     executor->setUp(false, m_now);
-    after(downTime, [this, executor] { executor->setUp(true, m_now); });
+    after(m_faults.downTime, [this, executor] { executor->setUp(true, m_now); });
 }
 
-void scheduling_simulation::runLeader(const std::shared_ptr<leader_instance> &leader)
+void scheduling_simulation::readRegistry()
 {
-    if (leader->state->isDeposed() || m_now >= leader->leadershipEnd) {
+    if (m_now < m_nextRegistryRead) {
         return;
     }
+    m_nextRegistryRead = m_now + m_faults.registryInterval;
     for (const auto &[id, executor] : m_executors) {
         if (executor->isUp()) {
-            leader->state->updateExecutor(executor->registryEntry(m_now), m_now);
+            m_registry[id] = executor->registryEntry(m_now);
         }
     }
+}
+
+void scheduling_simulation::runLeader(const std::shared_ptr<leader_instance> &leader)
+{
+    if (leader->state->isDeposed() || m_now >= leader->leadershipEnd) {
+        return;
+    }
+    readRegistry();
+    for (const auto &[id, entry] : m_registry) {
+        leader->state->updateExecutor(entry, m_now);
+    }
     leader->state->decide(m_now, wall());
     if (auto batch = leader->state->takeBatch()) {
         if (!leader->isDeposed) {
--- a/tests/scheduler/scheduling_simulation.h
+++ b/tests/scheduler/scheduling_simulation.h
@@ -23,6 +23,8 @@
     double lateStop = 0.0; /**< The same for a stop order. If a start and its stops are all late, their order of arrival is undefined. */
     double latePoll = 0.0; /**< The same for a poll. A late poll that reaches a new boot may acknowledge ends there, which no scheduler can detect. */
     duration crashInterval{}; /**< Mean time between crashes of an executor; zero for none. */
+    duration downTime = std::chrono::seconds{3}; /**< From a crash to the next boot under the same id. */
+    duration registryInterval{}; /**< Between two readings of the registry; zero to read it in every step. */
     duration takeoverInterval{}; /**< Mean time between changes of leader; zero for none. */
     bool predecessorContinues = false; /**< A deposed leader continues until its leadership lease expires. */
     double failedRun = 0.0; /**< A run fails. */
@@ -91,6 +93,7 @@
     void takeOver();
     void runPredecessor(const std::shared_ptr<leader_instance> &predecessor);
     void crash();
+    void readRegistry();
     void callLeader(const std::string &job, bool isCancel);
     void checkInvariants();
     template <typename Order, typename Response>
@@ -106,6 +109,8 @@
     time_point m_faultsEnd{};
     time_point m_nextCrash{};
     time_point m_nextTakeover{};
+    time_point m_nextRegistryRead{};
+    std::map<std::string, executor_description> m_registry; /**< As last read. */
     std::uint64_t m_events = 0;
     std::priority_queue<event, std::vector<event>, std::greater<>> m_queue;
     std::map<std::string, std::unique_ptr<executor_model>> m_executors;
