--- a/src/scheduler/pool_planner.cpp
+++ b/src/scheduler/pool_planner.cpp
@@ -24,6 +24,9 @@
 {
     removeFinishedMoves(hosts, now);
     std::vector<host_order> orders = orderRecordedMoves();
+    if (m_scheduler.configuration().version == 0) {
+        return orders; // neither the demand of the pools nor the standby pools are known
+    }
     auto pools = surveyPools(hosts, isReserved, now);
 
     // Assign one host at a time to the pool with the largest relative shortage.
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -147,6 +147,7 @@
         }
     }
     addDecision("lead", {}, {}, {}, "fence=" + std::to_string(fence) + " jobs=" + std::to_string(m_jobs.size()) + " active=" + std::to_string(m_active.size()));
+    endExhaustedJobs();
 }
 
 void scheduler::setConfiguration(queue_configuration configuration)
@@ -156,6 +157,7 @@
     for (const queue_policy &queue : m_configuration.queues) {
         m_queues.try_emplace(queue.name, &queue);
     }
+    endExhaustedJobs();
 }
 
 const queue_configuration &scheduler::configuration() const
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -57,6 +57,7 @@
 
     // ---- inputs ----
 
+    /** Puts a configuration in force. Jobs whose failed runs have used up the attempts that it permits end as failed. */
     void setConfiguration(queue_configuration configuration);
     const queue_configuration &configuration() const;
 
@@ -184,6 +185,9 @@
     void releaseRun(run_key key); // by value: callers pass elements of the list that it erases from
     void endRun(executor_state &executor, const finished_entry &entry, time_point now);
     void applyEnd(scheduled_job &job, const task_id &taskId, scheduled_task &task, const finished_entry &entry, executor_state &executor, time_point now);
+    bool hasExhaustedAttempts(const scheduled_job &job, const task_id &taskId);
+    bool hasExhaustedTask(const scheduled_job &job);
+    void endExhaustedJobs();
     void stopStalledRuns(executor_state &executor, time_point now);
     void countFailure(executor_state &executor, const std::string &job, time_point now);
     void confirmRun(scheduled_job &job, const task_id &taskId, scheduled_run &run);
--- a/src/scheduler/scheduler_ends.cpp
+++ b/src/scheduler/scheduler_ends.cpp
@@ -1,6 +1,7 @@
 #include "scheduler/scheduler.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace parsleyglade {
 
@@ -73,18 +74,58 @@
     countFailure(executor, job.id, now);
     ++task.failures;
     task.notBefore = now + m_settings.restartBackoff;
-    int failures = task.failures;
+    if (!isFinal(job.state) && hasExhaustedAttempts(job, taskId)) {
+        finish(job, work_state::failed, m_wallNow);
+    }
+}
+
+/** Whether the failed runs of a task, or of its gang, have used up the attempts that the queue permits. False while the queue is not configured: the
+    leader may not have a configuration yet, and a later one may permit more attempts. @see endExhaustedJobs() */
+bool scheduler::hasExhaustedAttempts(const scheduled_job &job, const task_id &taskId)
+{
+    const wire::step_record &description = job.work.steps[static_cast<std::size_t>(taskId.step)];
+    const scheduled_step &step = job.occurrences[static_cast<std::size_t>(taskId.occurrence)].steps[static_cast<std::size_t>(taskId.step)];
+    int failures = step.tasks[static_cast<std::size_t>(taskId.index)].failures;
     if (description.gang) {
-        failures = 0;
-        for (const scheduled_task &member : step.tasks) {
-            failures += member.failures;
-        }
+        failures = std::accumulate(step.tasks.begin(), step.tasks.end(), 0, [](int sum, const scheduled_task &member) { return sum + member.failures; });
+    }
+    if (description.longRunning || failures == 0) {
+        return false;
     }
     const queue_policy *queue = queueOf(job);
-    const int attempts = queue == nullptr ? 1 : std::max(queue->maximumAttempts, 1);
-    if (!description.longRunning && failures >= attempts && !isFinal(job.state)) {
-        finish(job, work_state::failed, m_wallNow);
+    if (queue == nullptr) {
+        addDecision("attempts-unknown", job.id, toText(taskId), {},
+                    "failures=" + std::to_string(failures) + " queue=" + job.work.queue + " configuration=" + std::to_string(m_configuration.version));
+        return false;
+    }
+    return failures >= std::max(queue->maximumAttempts, 1);
+}
+
+/** Ends the jobs whose failed runs have used up the attempts under the current configuration. */
+void scheduler::endExhaustedJobs()
+{
+    const std::vector<scheduled_job *> active = m_active; // finish() removes jobs from it
+    for (scheduled_job *job : active) {
+        if (hasExhaustedTask(*job)) {
+            finish(*job, work_state::failed, m_wallNow);
+        }
+    }
+}
+
+bool scheduler::hasExhaustedTask(const scheduled_job &job)
+{
+    for (std::size_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
+        const auto &steps = job.occurrences[occurrence].steps;
+        for (std::size_t step = 0; step < steps.size(); ++step) {
+            for (std::size_t index = 0; index < steps[step].tasks.size(); ++index) {
+                const bool hasFailed = steps[step].tasks[index].failures > 0 && !steps[step].tasks[index].done;
+                if (hasFailed && hasExhaustedAttempts(job, {job.id, static_cast<int>(occurrence), static_cast<int>(step), static_cast<int>(index)})) {
+                    return true;
+                }
+            }
+        }
     }
+    return false;
 }
 
 void scheduler::countFailure(executor_state &executor, const std::string &job, time_point now)
--- a/src/scheduler/scheduler_evacuation.cpp
+++ b/src/scheduler/scheduler_evacuation.cpp
@@ -30,6 +30,9 @@
     their end. */
 void scheduler::evacuate(executor_state &executor, time_point now)
 {
+    if (m_configuration.version == 0) {
+        return; // nothing that is stopped could be started elsewhere
+    }
     const std::vector<run_key> runs = executor.runs;
     for (const run_key &key : runs) {
         scheduled_run *run = findRun(key);
--- a/tests/scheduler/executor_model.cpp
+++ b/tests/scheduler/executor_model.cpp
@@ -174,6 +174,11 @@
     return m_isUp;
 }
 
+const std::vector<finished_entry> &executor_model::finished() const
+{
+    return m_finished;
+}
+
 const std::vector<finished_entry> &executor_model::acknowledged() const
 {
     return m_acknowledged;
--- a/tests/scheduler/executor_model.h
+++ b/tests/scheduler/executor_model.h
@@ -58,6 +58,9 @@
     bool isUp() const;
     void setUp(bool isUp, time_point now);
 
+    /** Returns the ends that no leader has acknowledged yet. */
+    const std::vector<finished_entry> &finished() const;
+
     /** Returns the ends that a leader acknowledged before the lease expired. */
     const std::vector<finished_entry> &acknowledged() const;
 
--- a/tests/scheduler/scheduling_property_test.cpp
+++ b/tests/scheduler/scheduling_property_test.cpp
@@ -64,6 +64,8 @@
         REQUIRE(simulation.isConfirmed(id));
         const bool hasEnded = simulation.stateOf(id) == work_state::completed || (mayFail && simulation.stateOf(id) == work_state::failed);
         REQUIRE(hasEnded);
+        const bool hasFailedWithoutCause = simulation.stateOf(id) == work_state::failed && !simulation.hasExhaustedAttempts(id);
+        REQUIRE_FALSE(hasFailedWithoutCause);
     }
 }
 
@@ -161,6 +163,17 @@
     checkSeeds(faults, true);
 }
 
+// Guards against decisions of a leader that has no configuration yet: runs fail while it takes over and before its configuration arrives.
+TEST_CASE("a job fails only after its permitted attempts when leaders change and their configuration arrives late", "[scheduler]")
+{
+    simulated_faults faults;
+    faults.lostResponse = 0.03;
+    faults.failedRun = 0.3;
+    faults.takeoverInterval = std::chrono::seconds{3};
+    faults.configurationDelay = std::chrono::seconds{4};
+    checkSeeds(faults, true);
+}
+
 TEST_CASE("a cancelled job starts nothing once its cancellation is confirmed", "[scheduler]")
 {
     rc::prop("seeds", [](std::uint64_t seed) {
--- a/tests/scheduler/scheduling_simulation.cpp
+++ b/tests/scheduler/scheduling_simulation.cpp
@@ -92,7 +92,7 @@
 
 void scheduling_simulation::callLeader(const std::string &job, bool isCancel)
 {
-    if (!m_leader) {
+    if (!m_leader || m_leader->state->configuration().version == 0) {
         after(callRetryDelay, [this, job, isCancel] { callLeader(job, isCancel); });
         return;
     }
@@ -183,13 +183,15 @@
     m_leader->state = std::make_unique<scheduler>(scheduler_settings{});
     m_leader->fence = m_journalEnd++;
     m_leader->leadershipEnd = m_now + scheduler_settings{}.leadershipLease;
-    m_leader->state->setConfiguration(simulationConfiguration());
     for (const auto &[key, value] : m_journal) {
         if (!m_leader->state->restore(key, value)) {
             addViolation("cannot decode journal record " + key);
         }
     }
     m_leader->state->lead(m_leader->fence, m_now, wall());
+    const auto delay = m_faults.configurationDelay.count();
+    after(duration(delay == 0 ? 0 : static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(delay))),
+          [leader = m_leader] { leader->state->setConfiguration(simulationConfiguration()); });
 
     // Callers of the previous leader retry.
     std::vector<open_call> lost;
@@ -360,6 +362,11 @@
         if (!used.fitsInto(executor->description().capacity)) {
             addViolation("executor " + id + " exceeds its capacity");
         }
+        for (const finished_entry &entry : executor->finished()) {
+            if (entry.end == run_end::failed) {
+                m_failedRuns.insert({entry.task, entry.run});
+            }
+        }
         for (const finished_entry &entry : executor->acknowledged()) {
             if (entry.end == run_end::done) {
                 m_doneRuns.try_emplace(entry.task, entry.run);
@@ -389,4 +396,15 @@
     return static_cast<int>(std::count_if(m_startedRuns.begin(), m_startedRuns.end(), [&](const auto &run) { return run.first.job == job; }));
 }
 
+bool scheduling_simulation::hasExhaustedAttempts(const std::string &job) const
+{
+    std::map<task_id, int> failures;
+    for (const auto &[task, run] : m_failedRuns) {
+        if (task.job == job && ++failures[task] >= attempts) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace parsleyglade
--- a/tests/scheduler/scheduling_simulation.h
+++ b/tests/scheduler/scheduling_simulation.h
@@ -28,6 +28,7 @@
     duration takeoverInterval{}; /**< Mean time between changes of leader; zero for none. */
     bool predecessorContinues = false; /**< A deposed leader continues until its leadership lease expires. */
     double failedRun = 0.0; /**< A run fails. */
+    duration configurationDelay{}; /**< A new leader gets the configuration up to this much later. */
 };
 
 /**
@@ -55,6 +56,9 @@
     bool isConfirmed(const std::string &id) const;
     int startsOf(const std::string &job) const;
 
+    /** Whether a task of the job has failed as often as the queue permits. */
+    bool hasExhaustedAttempts(const std::string &job) const;
+
 private:
     struct leader_instance
     {
@@ -124,6 +128,7 @@
     std::set<std::string> m_confirmed;
     std::map<std::string, time_point> m_cancelled; /**< When the cancellation of a job was confirmed. */
     std::set<std::pair<task_id, int>> m_startedRuns;
+    std::set<std::pair<task_id, int>> m_failedRuns;
     std::map<task_id, int> m_doneRuns; /**< Tasks with an acknowledged successful end, and the run. */
     std::vector<std::string> m_violations;
 };
