Let a stop that one boot has confirmed count for that boot alone

A start order had no answer; the executor restarted, the new boot confirmed a stop of the run, and its task was started elsewhere; then the executor restarted again and carried out the order, 8 s late, before the registry showed that boot.

Hypotheses: (a) the run was released before the stop was confirmed; (b) a later boot does not know of the stop.

Change: after a new boot the task waits until the order can no longer be carried out, instead of 600 ms after the confirmed stop.

--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -210,10 +210,8 @@
     }
     for (unanswered_start &start : found->second.unansweredStarts) {
         if (start.run == run_key{order.task, order.run}) {
-            if (response.result == order_result::done && !start.isBlocked) {
-                start.isBlocked = true;
-                delayTask(start.run, now + m_settings.maximumStopTime); // the start may have arrived before the stop
-            }
+            // The task waits until the order has expired all the same, because a still later boot would not know of the stop.
+            start.isBlocked = start.isBlocked || response.result == order_result::done;
         }
     }
 
--- a/tests/scheduler/scheduling_property_test.cpp
+++ b/tests/scheduler/scheduling_property_test.cpp
@@ -194,6 +194,19 @@
     }
 }
 
+// Guards against trust in a stop that an earlier boot has confirmed: a start order without an answer was carried out by a third boot, when the task had
+// been started elsewhere since the second one had confirmed the stop.
+TEST_CASE("no task runs twice when executors restart unnoticed several times beside late start orders", "[scheduler]")
+{
+    simulated_faults faults;
+    faults.lateStart = 0.05;
+    faults.crashInterval = std::chrono::milliseconds{500};
+    faults.downTime = std::chrono::milliseconds{100};
+    faults.registryInterval = std::chrono::milliseconds{400};
+    faults.cutInterval = std::chrono::seconds{1};
+    checkSeeds(faults);
+}
+
 // Guards against decisions of a leader that has no configuration yet: runs fail while it takes over and before its configuration arrives.
 TEST_CASE("a job fails only after its permitted attempts when leaders change and their configuration arrives late", "[scheduler]")
 {
