--- a/idl/parsleyglade.thrift
+++ b/idl/parsleyglade.thrift
@@ -312,6 +312,7 @@
 struct lease_record {
     1: string executor
     2: i64 leaseMilliseconds       // how long after this record was made the executor may still hold a lease
+    3: bool lost                   // of a leader that resigns: the executor does not answer it, and it has granted no later lease
 }
 
 struct batch_record {
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -124,7 +124,7 @@
     if (!record) {
         return false;
     }
-    m_restoredLeases[executor] = std::chrono::milliseconds{record->leaseMilliseconds};
+    m_restoredLeases[executor] = *record;
     return true;
 }
 
@@ -173,7 +173,7 @@
             }
         }
     }
-    restoreLeases(now);
+    restoreLeases(now, hasResigned);
     addDecision("lead", {}, {}, {}, "fence=" + std::to_string(fence) + " jobs=" + std::to_string(m_jobs.size()) + " active=" + std::to_string(m_active.size()));
     endExhaustedJobs();
 }
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -148,6 +148,13 @@
         replaced, /**< Another executor responds at the address and does not accept orders for this one. */
     };
 
+    /** A lease that is in the journal for a successor. */
+    struct recorded_lease
+    {
+        time_point expiry{}; /**< When it has certainly expired. */
+        bool isLost = false; /**< This leader resigns, and the executor does not answer it. */
+    };
+
     struct waiting_reply
     {
         call_token token = 0;
@@ -217,7 +224,8 @@
     duration longestLocalTime(duration lease) const;
     void assumeLongestLease(executor_state &executor, time_point receivedBy);
     void noteGrant(executor_state &executor, bool isAnswered, time_point sentAt, time_point now);
-    void restoreLeases(time_point now);
+    void restoreLeases(time_point now, bool hasResigned);
+    void recordLeasesOfLostExecutors();
     void dropExpiredLeaseRecords(time_point now);
     order_target targetOf(const executor_state &executor) const;
     std::optional<poll_order> makePoll(executor_state &executor, time_point now);
@@ -288,8 +296,8 @@
     std::optional<time_point> m_resigned;
     std::map<std::string, std::string> m_hostRecords; /**< Encoded records of orders for hosts, by journal key. */
     std::vector<std::string> m_changedHostRecords;
-    std::map<std::string, duration> m_restoredLeases; /**< By executor, from the journal. */
-    std::map<std::string, time_point> m_leaseRecords; /**< Executors whose lease is recorded, and when it has certainly expired. */
+    std::map<std::string, wire::lease_record> m_restoredLeases; /**< By executor, from the journal. */
+    std::map<std::string, recorded_lease> m_leaseRecords; /**< By executor. */
     std::set<std::string> m_changedLeaseRecords;
     std::uint64_t m_batch = 0; /**< Number of the last batch that takeBatch() has returned. */
     std::uint64_t m_confirmedBatch = 0;
--- a/src/scheduler/scheduler_batches.cpp
+++ b/src/scheduler/scheduler_batches.cpp
@@ -81,7 +81,12 @@
         }
         wire::lease_record record;
         record.executor = id;
-        record.leaseMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(recorded->second - m_now).count();
+        const executor_state *executor = findExecutor(id);
+        const bool isLost = recorded->second.isLost && executor != nullptr;
+        const time_point expiry = isLost ? executor->leaseExpiry : recorded->second.expiry; // a start order may have extended it since
+        const duration left = std::max(expiry - m_now, duration::zero());
+        record.leaseMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
+        record.lost = isLost;
         batch.entries.push_back({leaseKey(id), encode(record)});
     }
 }
@@ -100,6 +105,7 @@
 void scheduler::resign(time_point now)
 {
     m_resigned = now;
+    recordLeasesOfLostExecutors();
     for (const auto &[id, executor] : m_executors) {
         for (const run_key &key : executor.runs) {
             const scheduled_run *run = findRun(key);
--- a/src/scheduler/scheduler_executors.cpp
+++ b/src/scheduler/scheduler_executors.cpp
@@ -143,7 +143,7 @@
     }
     executor.leaseExpiry = expiry;
     const std::string &id = executor.description.id;
-    m_leaseRecords[id] = expiry;
+    m_leaseRecords[id] = {expiry, false};
     m_changedLeaseRecords.insert(id);
     addDecision("longest-lease", {}, {}, id,
                 "runs=" + std::to_string(executor.runs.size())
@@ -162,29 +162,45 @@
     }
 }
 
-/** Restores the leases that the previous leader has recorded. */
-void scheduler::restoreLeases(time_point now)
+/** Restores the leases that the previous leader has recorded. If it has resigned, it granted none after its last record of a lost executor. */
+void scheduler::restoreLeases(time_point now, bool hasResigned)
 {
-    for (const auto &[id, lease] : m_restoredLeases) {
-        const time_point expiry = now + lease + m_settings.leaseExpiryMargin;
+    for (const auto &[id, record] : m_restoredLeases) {
+        const time_point expiry = now + std::chrono::milliseconds{record.leaseMilliseconds} + m_settings.leaseExpiryMargin;
         const auto found = m_executors.find(id);
         if (found != m_executors.end()) {
-            found->second.leaseExpiry = std::max(found->second.leaseExpiry, expiry);
+            time_point &current = found->second.leaseExpiry;
+            current = hasResigned && record.lost ? expiry : std::max(current, expiry);
+            addDecision("lease-restored", {}, {}, id,
+                        "recordedMs=" + std::to_string(record.leaseMilliseconds) + " lost=" + std::to_string(record.lost ? 1 : 0)
+                            + " forMs=" + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(current - now).count()));
         }
-        m_leaseRecords[id] = expiry;
+        m_leaseRecords[id] = {expiry, false};
         m_changedLeaseRecords.insert(id);
     }
     m_restoredLeases.clear();
 }
 
+/** Records for the successor how long the executors that do not answer this leader, or no longer do, may still hold a lease. Otherwise each change of leader would count a
+    full lease anew, and their runs would not be given up while leaders change. */
+void scheduler::recordLeasesOfLostExecutors()
+{
+    for (const auto &[id, executor] : m_executors) {
+        if (!executor.runs.empty() && (executor.failedPolls > 0 || !executor.isSynchronised)) {
+            m_leaseRecords[id] = {executor.leaseExpiry, true};
+            m_changedLeaseRecords.insert(id);
+        }
+    }
+}
+
 void scheduler::dropExpiredLeaseRecords(time_point now)
 {
-    for (const auto &[id, expiry] : m_leaseRecords) {
-        if (now > expiry) {
+    for (const auto &[id, lease] : m_leaseRecords) {
+        if (now > lease.expiry) {
             m_changedLeaseRecords.insert(id);
         }
     }
-    std::erase_if(m_leaseRecords, [now](const auto &entry) { return now > entry.second; });
+    std::erase_if(m_leaseRecords, [now](const auto &entry) { return now > entry.second.expiry; });
 }
 
 bool scheduler::mayStillStart(const scheduled_run &run, time_point now) const
