--- a/tests/scheduler/repeated_handover_test.cpp
+++ b/tests/scheduler/repeated_handover_test.cpp
@@ -2,7 +2,8 @@
 
 #include <catch2/catch.hpp>
 #include <map>
-#include <memory>
+#include <random>
+#include <rapidcheck/catch.h>
 #include <set>
 
 using namespace parsleyglade;
@@ -10,6 +11,9 @@
 
 namespace {
 
+constexpr duration pollTimeout = std::chrono::milliseconds{700};
+constexpr duration removalTime = std::chrono::milliseconds{4500}; // from the silence of an executor to the removal of its registry entry
+
 /** A long-running job under leaders that resign one after the other. Executors answer polls and starts unless they are silent. */
 struct handover_chain
 {
@@ -29,6 +33,7 @@
     void runLeader(duration time, bool resigns = true)
     {
         scheduler leader{scheduler_settings{}};
+        unanswered.clear();
         for (const auto &[key, value] : journal) {
             REQUIRE(leader.restore(key, value));
         }
@@ -50,14 +55,24 @@
         }
     }
 
+    /** Lets an executor answer nothing any more, as if it were cut off and running on. */
+    void silence(const std::string &id)
+    {
+        silent.insert(id);
+        silentFrom.try_emplace(id, clock.now);
+    }
+
     void step(scheduler &leader)
     {
         for (auto &[id, description] : executors) {
             description.clockMilliseconds = clock.clock();
             if (!silent.contains(id)) {
                 leader.updateExecutor(description, clock.now);
+            } else if (clock.now >= silentFrom[id] + removalTime) {
+                leader.removeExecutor(id);
             }
         }
+        leader.confirmRegistry();
         leader.decide(clock.now, clock.wall());
         record(leader);
         for (scheduler_action &action : leader.takeActions()) {
@@ -71,19 +86,34 @@
                                            clock.now);
             }
         }
+        std::erase_if(unanswered, [&](const unanswered_poll &poll) {
+            const bool hasTimedOut = clock.now >= poll.sentAt + pollTimeout;
+            if (hasTimedOut) {
+                leader.handlePollResponse(poll.executor, poll_response{}, poll.sentAt, clock.now);
+            }
+            return hasTimedOut;
+        });
         for (const poll_order &poll : leader.takePolls(clock.now)) {
             poll_response response;
-            if (!silent.contains(poll.target.executor)) {
-                response.result = order_result::done;
-                response.boot = 1;
-                response.clockMilliseconds = clock.clock();
-                response.running = running[poll.target.executor];
-                lastGrant[poll.target.executor] = clock.now;
+            if (silent.contains(poll.target.executor)) {
+                unanswered.push_back({poll.target.executor, clock.now});
+                continue;
             }
+            response.result = order_result::done;
+            response.boot = 1;
+            response.clockMilliseconds = clock.clock();
+            response.running = running[poll.target.executor];
+            lastGrant[poll.target.executor] = clock.now;
             leader.handlePollResponse(poll.target.executor, response, clock.now, clock.now);
         }
     }
 
+    struct unanswered_poll
+    {
+        std::string executor;
+        time_point sentAt{};
+    };
+
     void record(scheduler &leader)
     {
         if (const auto batch = leader.takeBatch()) {
@@ -97,6 +127,8 @@
     manual_cluster clock;
     std::map<std::string, executor_description> executors;
     std::set<std::string> silent;
+    std::map<std::string, time_point> silentFrom;
+    std::vector<unanswered_poll> unanswered; /**< Polls of the current leader to silent executors. */
     std::map<std::string, std::vector<running_entry>> running;
     std::map<std::string, time_point> lastGrant;
     std::map<run_key, time_point> startedAt;
@@ -118,7 +150,7 @@
     REQUIRE(chain.startedAt.size() == 2);
     const std::string lost = chain.running.begin()->first;
     const task_id task = chain.running.begin()->second.front().task;
-    chain.silent.insert(lost);
+    chain.silence(lost);
     const time_point lastHeard = chain.clock.now;
     for (int leader = 0; leader < 8; ++leader) {
         chain.runLeader(term);
@@ -138,12 +170,13 @@
     chain.runLeader(term);
     const std::string lost = chain.running.begin()->first;
     const task_id task = chain.running.begin()->second.front().task;
-    chain.silent.insert(lost);
+    chain.silence(lost);
     chain.runLeader(term);
     chain.silent.clear();
+    chain.silentFrom.clear();
     const bool resigns = GENERATE(true, false);
     chain.runLeader(term, resigns);
-    chain.silent.insert(lost);
+    chain.silence(lost);
     for (int leader = 0; leader < 8; ++leader) {
         chain.runLeader(term);
     }
@@ -151,3 +184,46 @@
     REQUIRE(second != chain.startedAt.end());
     CHECK(second->second >= chain.lastGrant[lost] + scheduler_settings{}.lease);
 }
+
+// Guards against tasks that start nowhere after executors are lost for good, and against starts beside a lease that is still held. Executors are lost in any
+// order with changes of leader, also while start orders are on their way to them.
+TEST_CASE("tasks of lost executors start elsewhere in time, and not before their leases are over, in any order of losses and resignations", "[scheduler]")
+{
+    rc::prop("seeds", [](std::uint64_t seed) {
+        std::mt19937_64 random(seed);
+        const auto drawMilliseconds = [&random](std::int64_t from, std::int64_t to) {
+            return std::chrono::milliseconds{from + static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(to - from))};
+        };
+        handover_chain chain;
+        chain.runLeader(1s);
+        const std::vector<std::string> ids{"a", "b", "c", "d"};
+        const std::string first = ids[random() % ids.size()];
+        chain.silence(first);
+        chain.runLeader(drawMilliseconds(2'500, 4'000)); // about when the tasks of the first one start elsewhere
+        const std::string second = ids[random() % ids.size()];
+        chain.silence(second);
+        const time_point lastLoss = chain.clock.now;
+        while (chain.clock.now < lastLoss + 11s) {
+            chain.runLeader(drawMilliseconds(300, 3'000));
+        }
+
+        std::map<task_id, std::vector<std::pair<std::string, int>>> runs;
+        for (const auto &[executor, entries] : chain.running) {
+            for (const running_entry &entry : entries) {
+                runs[entry.task].emplace_back(executor, entry.run);
+            }
+        }
+        REQUIRE(runs.size() == 2);
+        for (const auto &[task, starts] : runs) {
+            const bool runsOnLiveExecutor
+                = std::any_of(starts.begin(), starts.end(), [&chain](const auto &start) { return !chain.silent.contains(start.first); });
+            REQUIRE(runsOnLiveExecutor);
+            for (const auto &[executor, run] : starts) {
+                const auto next = std::find_if(starts.begin(), starts.end(), [number = run](const auto &start) { return start.second > number; });
+                if (next != starts.end()) {
+                    REQUIRE(chain.startedAt.at({task, next->second}) >= chain.lastGrant[executor] + scheduler_settings{}.lease);
+                }
+            }
+        }
+    });
+}
