--- a/src/control/control_daemon.cpp
+++ b/src/control/control_daemon.cpp
@@ -104,6 +104,8 @@
         gauge("parsleyglade_log_lines_left_out", "Log lines dropped because of the rate limit or a slow reader.", static_cast<double>(droppedLogLines())));
     if (leader != nullptr) {
         metrics.push_back(gauge("parsleyglade_jobs", "Jobs known to the leader.", static_cast<double>(leader->state().jobCount())));
+        const std::vector<metric> load = leader->loadMetrics();
+        metrics.insert(metrics.end(), load.begin(), load.end());
         metrics.push_back(gauge("parsleyglade_journal_age_seconds", "Time since the last confirmed append to the journal.", toSeconds(leader->journalAge())));
     }
     return renderMetrics(metrics);
--- a/src/control/leader_task.cpp
+++ b/src/control/leader_task.cpp
@@ -10,6 +10,9 @@
 // Leases and retries of orders are checked at least this often.
 constexpr duration maximumDecisionInterval = std::chrono::milliseconds{50};
 
+// Between two reports of the leader's load in the log.
+constexpr duration loadReportInterval = std::chrono::seconds{1};
+
 wire::work_reply makeReply(wire::work_verdict::type verdict)
 {
     wire::work_reply reply;
@@ -45,10 +48,12 @@
               scheduleRun();
           })
     , m_ended(std::move(ended))
+    , m_loadReporter(*m_scheduler, m_load)
 {
     m_scheduler->lead(static_cast<std::int64_t>(takeoverOffset), m_loop.now(), m_loop.wallNow(), hasResigned);
     m_hosts.lead(static_cast<std::int64_t>(takeoverOffset));
     m_decisionTimer = m_loop.every(maximumDecisionInterval, [this] { scheduleRun(); });
+    m_loadTimer = m_loop.every(loadReportInterval, [this] { m_loadReporter.writeLines(m_loop.now()); });
     m_registry.start();
 
     wire::batch_record announcement;
@@ -136,6 +141,7 @@
 
 void leader_task::forwardToScheduler(const wire::work_call &call, reply_function reply)
 {
+    const leader_load::scope scope(m_load, leader_part::calls);
     const call_token token = m_nextToken++;
     m_pendingCalls[token] = std::move(reply);
     const wall_time now = m_loop.wallNow();
@@ -180,6 +186,11 @@
     return m_loop.now() - m_journal.lastConfirmed();
 }
 
+std::vector<metric> leader_task::loadMetrics() const
+{
+    return m_loadReporter.collect(m_loop.now());
+}
+
 const scheduler &leader_task::state() const
 {
     return *m_scheduler;
@@ -209,7 +220,9 @@
     const duration elapsed = m_loop.now() - m_lastRun;
     const duration interval
         = m_settings.minimumDecisionInterval + m_settings.decisionIntervalPerExecutor * static_cast<std::int64_t>(m_scheduler->executorCount());
-    m_runTimer = m_loop.after(std::max(interval - elapsed, duration::zero()), [this] { run(); });
+    const duration delay = std::max(interval - elapsed, duration::zero());
+    m_runDueAt = m_loop.now() + delay;
+    m_runTimer = m_loop.after(delay, [this] { run(); });
 }
 
 void leader_task::run()
@@ -219,29 +232,53 @@
         return;
     }
     m_lastRun = m_loop.now();
+    m_load.addLoopDelay(std::max(m_lastRun - m_runDueAt, duration::zero()));
     expireDeferredCalls();
-    if (hasLeadershipLease() && !m_isResigning) {
+    decide();
+    writeBatch();
+    performActions();
+    sendPolls();
+    if (m_scheduler->isDeposed()) {
+        end("an executor has seen a higher fencing token");
+    }
+}
+
+void leader_task::decide()
+{
+    if (!hasLeadershipLease() || m_isResigning) {
+        return;
+    }
+    {
+        const leader_load::scope scope(m_load, leader_part::decisions);
         m_scheduler->decide(m_loop.now(), m_loop.wallNow());
-        m_hosts.run();
     }
-    writeBatch();
+    const leader_load::scope scope(m_load, leader_part::hosts);
+    m_hosts.run();
+}
 
+void leader_task::performActions()
+{
+    const leader_load::scope scope(m_load, leader_part::actions);
     std::vector<scheduler_action> actions = m_scheduler->takeActions();
     for (scheduler_action &action : actions) {
         perform(action);
     }
-    if (hasLeadershipLease() && !m_isResigning) {
-        for (const poll_order &order : m_scheduler->takePolls(m_loop.now())) {
-            sendPoll(order);
-        }
+}
+
+void leader_task::sendPolls()
+{
+    if (!hasLeadershipLease() || m_isResigning) {
+        return;
     }
-    if (m_scheduler->isDeposed()) {
-        end("an executor has seen a higher fencing token");
+    const leader_load::scope scope(m_load, leader_part::polls);
+    for (const poll_order &order : m_scheduler->takePolls(m_loop.now())) {
+        sendPoll(order);
     }
 }
 
 void leader_task::writeBatch()
 {
+    const leader_load::scope scope(m_load, leader_part::journal);
     if (m_journal.isBusy()) {
         return;
     }
@@ -268,6 +305,7 @@
         return;
     }
     m_journal.append(header, std::move(batch->entries), [this, number = batch->number, startedAt = m_loop.now()](std::uint64_t) {
+        const leader_load::scope confirmation(m_load, leader_part::journal);
         m_metrics.countAppend(m_loop.now() - startedAt);
         m_scheduler->confirmBatch(number, m_loop.now());
         forwardConfirmedCalls();
@@ -327,6 +365,7 @@
     }
     m_platform.executors.start(order, [this, order, sentAt, alive = alive()](const order_response &response) {
         if (alive.lock()) {
+            const leader_load::scope scope(m_load, leader_part::order_responses);
             m_scheduler->handleStartResponse(order, response, sentAt, m_loop.now());
             scheduleRun();
         }
@@ -338,6 +377,7 @@
     const time_point sentAt = m_loop.now();
     m_platform.executors.poll(order, [this, id = order.target.executor, sentAt, alive = alive()](const poll_response &response) {
         if (alive.lock()) {
+            const leader_load::scope scope(m_load, leader_part::poll_responses);
             m_scheduler->handlePollResponse(id, response, sentAt, m_loop.now());
             scheduleRun();
         }
@@ -346,6 +386,7 @@
 
 void leader_task::handleRegistryRecord(const store_record &record)
 {
+    const leader_load::scope scope(m_load, leader_part::registry);
     if (record.value.empty()) {
         m_scheduler->removeExecutor(record.key);
         return;
--- a/src/control/leader_task.h
+++ b/src/control/leader_task.h
@@ -4,6 +4,8 @@
 #include "control/control_settings.h"
 #include "control/host_task.h"
 #include "control/journal_writer.h"
+#include "control/leader_load.h"
+#include "control/load_reporter.h"
 #include "control/platform_clients.h"
 #include "control/topic_follower.h"
 #include "runtime/event_loop.h"
@@ -60,6 +62,9 @@
     /** The scheduler, for inspection. */
     const scheduler &state() const;
 
+    /** Metrics of the work since this entry host took over. */
+    std::vector<metric> loadMetrics() const;
+
 private:
     /** A call that waits until the journal confirms leadership by an append sent after the call was received. */
     struct deferred_call
@@ -75,6 +80,9 @@
     void expireDeferredCalls();
     void scheduleRun();
     void run();
+    void decide();
+    void performActions();
+    void sendPolls();
     void writeBatch();
     void perform(scheduler_action &action);
     void sendStart(const start_order &order);
@@ -100,6 +108,10 @@
     std::set<std::string> m_malformedEntries;
     timer_subscription m_decisionTimer;
     timer_subscription m_runTimer;
+    timer_subscription m_loadTimer;
+    time_point m_runDueAt{};
+    leader_load m_load;
+    load_reporter m_loadReporter;
     bool m_isRunScheduled = false;
     bool m_isResigning = false;
     bool m_hasEnded = false;
--- /dev/null
+++ b/src/control/load_reporter.cpp
@@ -0,0 +1,151 @@
+#include "control/load_reporter.h"
+
+namespace parsleyglade {
+
+namespace {
+
+std::int64_t toMicroseconds(std::chrono::nanoseconds time)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
+}
+
+std::uint64_t endsOf(const service_counters &counters, run_end end)
+{
+    return counters.ends.at(static_cast<std::size_t>(end));
+}
+
+/** Describes what has been counted between two readings of the counters of a service. */
+std::string describeRuns(const service_counters &current, const service_counters &last)
+{
+    std::string text = " accepted=" + std::to_string(current.acceptedJobs - last.acceptedJobs)
+        + " refused=" + std::to_string(current.refusedJobs - last.refusedJobs) + " starts=" + std::to_string(current.starts - last.starts);
+    for (std::size_t end = 0; end < runEndNames.size(); ++end) {
+        const std::uint64_t count = current.ends.at(end) - last.ends.at(end);
+        if (count > 0) {
+            text += ' ' + std::string(runEndNames.at(end)) + '=' + std::to_string(count);
+        }
+    }
+    if (current.lostRuns > last.lostRuns) {
+        text += " lost=" + std::to_string(current.lostRuns - last.lostRuns);
+    }
+    const auto startedJobs = static_cast<std::int64_t>(current.startedJobs - last.startedJobs);
+    if (startedJobs > 0) {
+        const auto mean = std::chrono::duration_cast<std::chrono::milliseconds>((current.startDelay - last.startDelay) / startedJobs);
+        text += " started-jobs=" + std::to_string(startedJobs) + " start-delay-ms=" + std::to_string(mean.count());
+    }
+    return text;
+}
+
+std::string describeStatus(const service_status &status)
+{
+    return " executors=" + std::to_string(status.executors) + " free-millicores=" + std::to_string(status.freeMillicores)
+        + " waiting-tasks=" + std::to_string(status.waitingTasks) + " waiting-millicores=" + std::to_string(status.waitingMillicores);
+}
+
+counter_value toCounter(std::uint64_t count)
+{
+    return counter_value{static_cast<double>(count)};
+}
+
+gauge_value toGauge(std::int64_t value)
+{
+    return gauge_value{static_cast<double>(value)};
+}
+
+} // namespace
+
+load_reporter::load_reporter(const scheduler &state, const leader_load &load)
+    : m_state(state)
+    , m_load(load)
+{
+}
+
+void load_reporter::writeLines(time_point now)
+{
+    m_log.notice("leader" + describeWork() + describeParts());
+    std::map<std::string, service_status> statuses = m_state.serviceStatuses(now);
+    for (const auto &[service, counters] : m_state.counters().services) {
+        statuses.try_emplace(service);
+    }
+    static const service_counters none;
+    const auto find = [](const scheduler_counters &counters, const std::string &service) -> const service_counters & {
+        const auto found = counters.services.find(service);
+        return found == counters.services.end() ? none : found->second;
+    };
+    for (const auto &[service, status] : statuses) {
+        m_log.notice("service" + describeStatus(status) + describeRuns(find(m_state.counters(), service), find(m_lastCounters, service)),
+                     {{"service", service}});
+    }
+    m_lastCounters = m_state.counters();
+}
+
+std::string load_reporter::describeWork()
+{
+    const scheduler_counters &current = m_state.counters();
+    const auto field = [](std::string_view key, std::uint64_t value, std::uint64_t last) {
+        return ' ' + std::string(key) + '=' + std::to_string(value - last);
+    };
+    return field("rounds", current.rounds, m_lastCounters.rounds) + field("executor-visits", current.executorVisits, m_lastCounters.executorVisits)
+        + field("candidate-visits", current.candidateVisits, m_lastCounters.candidateVisits) + field("job-visits", current.jobVisits, m_lastCounters.jobVisits)
+        + field("polls", current.pollOrders, m_lastCounters.pollOrders) + field("batches", current.batches, m_lastCounters.batches)
+        + field("batch-bytes", current.batchBytes, m_lastCounters.batchBytes);
+}
+
+std::string load_reporter::describeParts()
+{
+    std::string text;
+    for (std::size_t number = 0; number < leaderPartNames.size(); ++number) {
+        const leader_load::part_load &part = m_load.part(static_cast<leader_part>(number));
+        leader_load::part_load &last = m_lastParts.at(number);
+        text += ' ' + std::string(leaderPartNames.at(number)) + "-us=" + std::to_string(toMicroseconds(part.processorTime - last.processorTime));
+        last = part;
+    }
+    const duration loopDelay = m_load.loopDelay();
+    text += " loop-delay-us=" + std::to_string((loopDelay - m_lastLoopDelay).count());
+    m_lastLoopDelay = loopDelay;
+    return text;
+}
+
+std::vector<metric> load_reporter::collect(time_point now) const
+{
+    metric time{"parsleyglade_leader_processor_seconds_total", "Processor time of the leader since it took over, by part of its work.", {}};
+    metric count{"parsleyglade_leader_work_total", "Units of work of the leader since it took over.", {}};
+    for (std::size_t number = 0; number < leaderPartNames.size(); ++number) {
+        const leader_load::part_load &part = m_load.part(static_cast<leader_part>(number));
+        const std::string partName(leaderPartNames.at(number));
+        time.samples.push_back({{{"part", partName}}, counter_value{std::chrono::duration<double>(part.processorTime).count()}});
+        count.samples.push_back({{{"kind", partName}}, toCounter(part.count)});
+    }
+    const scheduler_counters &counters = m_state.counters();
+    count.samples.push_back({{{"kind", "rounds"}}, toCounter(counters.rounds)});
+    count.samples.push_back({{{"kind", "executor-visits"}}, toCounter(counters.executorVisits)});
+    count.samples.push_back({{{"kind", "candidate-visits"}}, toCounter(counters.candidateVisits)});
+    count.samples.push_back({{{"kind", "job-visits"}}, toCounter(counters.jobVisits)});
+    count.samples.push_back({{{"kind", "poll-orders"}}, toCounter(counters.pollOrders)});
+    count.samples.push_back({{{"kind", "batches"}}, toCounter(counters.batches)});
+    count.samples.push_back({{{"kind", "batch-bytes"}}, toCounter(counters.batchBytes)});
+
+    metric runs{"parsleyglade_service_runs_total", "Start orders, ends and losses of runs since the leader took over, by service.", {}};
+    metric jobs{"parsleyglade_service_jobs_total", "Jobs accepted, refused and started since the leader took over, by service.", {}};
+    metric delay{"parsleyglade_service_start_delay_seconds_total", "Time from acceptance to the first start order, summed over the started jobs.", {}};
+    for (const auto &[service, values] : counters.services) {
+        runs.samples.push_back({{{"service", service}, {"event", "start"}}, toCounter(values.starts)});
+        runs.samples.push_back({{{"service", service}, {"event", "lost"}}, toCounter(values.lostRuns)});
+        for (std::size_t end = 0; end < runEndNames.size(); ++end) {
+            runs.samples.push_back({{{"service", service}, {"event", std::string(runEndNames.at(end))}}, toCounter(endsOf(values, static_cast<run_end>(end)))});
+        }
+        jobs.samples.push_back({{{"service", service}, {"event", "accepted"}}, toCounter(values.acceptedJobs)});
+        jobs.samples.push_back({{{"service", service}, {"event", "refused"}}, toCounter(values.refusedJobs)});
+        jobs.samples.push_back({{{"service", service}, {"event", "started"}}, toCounter(values.startedJobs)});
+        delay.samples.push_back({{{"service", service}}, counter_value{toSeconds(values.startDelay)}});
+    }
+    metric waiting{"parsleyglade_service_waiting_tasks", "Tasks that could start if there was capacity.", {}};
+    metric free{"parsleyglade_service_free_millicores", "Free capacity of the executors that accept work.", {}};
+    for (const auto &[service, status] : m_state.serviceStatuses(now)) {
+        waiting.samples.push_back({{{"service", service}}, toGauge(status.waitingTasks)});
+        free.samples.push_back({{{"service", service}}, toGauge(status.freeMillicores)});
+    }
+    return {time, count, runs, jobs, delay, waiting, free};
+}
+
+} // namespace parsleyglade
--- a/src/runtime/bounded_writer.cpp
+++ b/src/runtime/bounded_writer.cpp
@@ -18,11 +18,11 @@
     }
 }
 
-void bounded_writer::write(const std::string &line, time_point now)
+void bounded_writer::write(const std::string &line, time_point now, line_priority priority)
 {
     flush();
     const bool hasCapacity = m_buffer.size() + line.size() < m_settings.maximumBufferedBytes;
-    if (!consumeToken(now) || !hasCapacity) {
+    if (!consumeToken(now, priority) || !hasCapacity) {
         ++m_droppedLines;
         ++m_unreportedLines;
         return;
@@ -45,7 +45,7 @@
 bool bounded_writer::dropUnformatted(time_point now)
 {
     refillTokens(now);
-    if (m_tokens >= 1.0) {
+    if (hasToken(line_priority::normal)) {
         return false;
     }
     ++m_droppedLines;
@@ -59,10 +59,16 @@
     m_refilledAt = now;
 }
 
-bool bounded_writer::consumeToken(time_point now)
+bool bounded_writer::hasToken(line_priority priority) const
+{
+    const double reserved = priority == line_priority::normal ? m_settings.reservedLines : 0.0;
+    return m_tokens >= 1.0 + reserved;
+}
+
+bool bounded_writer::consumeToken(time_point now, line_priority priority)
 {
     refillTokens(now);
-    if (m_tokens < 1.0) {
+    if (!hasToken(priority)) {
         return false;
     }
     m_tokens -= 1.0;
--- a/src/runtime/bounded_writer.h
+++ b/src/runtime/bounded_writer.h
@@ -7,13 +7,20 @@
 
 namespace parsleyglade {
 
-/** Limits of a bounded_writer. The default values are those of the log on standard output. */
+/** Limits of a bounded_writer. */
 struct bounded_writer_settings
 {
     double linesPerSecond = 1'500;
     double burstLines = 3'000;
     std::size_t maximumBufferedBytes = std::size_t{256} * 1024; /**< Lines that the reader has not read yet. */
     duration noticeInterval = std::chrono::seconds{1}; /**< Minimum time between two lines that report the number of dropped lines. */
+    double reservedLines = 0; /**< Share of the burst that is kept for lines of the priority reserved. */
+};
+
+/** Which lines are dropped first. */
+enum class line_priority {
+    normal,
+    reserved, /**< Rare lines that matter most under overload, such as warnings and periodic summaries. */
 };
 
 /**
@@ -30,9 +37,9 @@
     bounded_writer &operator=(const bounded_writer &) = delete;
 
     /** Writes or buffers the line and a line feed, or drops the line. */
-    void write(const std::string &line, time_point now);
+    void write(const std::string &line, time_point now, line_priority priority = line_priority::normal);
 
-    /** Whether a line would be dropped because of the rate limit. Then counts it as dropped, so that the caller need not format it. */
+    /** Whether a line of normal priority would be dropped because of the rate limit. Then counts it as dropped, so that the caller need not format it. */
     bool dropUnformatted(time_point now);
 
     /** Returns the number of lines dropped so far. */
@@ -40,7 +47,8 @@
 
 private:
     void refillTokens(time_point now);
-    bool consumeToken(time_point now);
+    bool consumeToken(time_point now, line_priority priority);
+    bool hasToken(line_priority priority) const;
     void flush();
 
     int m_descriptor;
--- a/src/runtime/logger.cpp
+++ b/src/runtime/logger.cpp
@@ -21,6 +21,9 @@
 
 namespace boost_log = boost::log;
 
+// Lines of the burst that informational lines leave to notices, warnings and errors.
+constexpr double reservedLogLines = 200;
+
 using severity_source = boost_log::sources::severity_logger<log_level>;
 
 severity_source &source()
@@ -36,6 +39,8 @@
         return "debug";
     case log_level::info:
         return "info";
+    case log_level::notice:
+        return "notice";
     case log_level::warning:
         return "warning";
     case log_level::error:
@@ -65,9 +70,11 @@
 class bounded_backend final : public boost_log::sinks::basic_formatted_sink_backend<char, boost_log::sinks::synchronized_feeding>
 {
 public:
-    void consume(const boost_log::record_view &, const string_type &line)
+    void consume(const boost_log::record_view &record, const string_type &line)
     {
-        m_writer.write(line, now());
+        const auto level = boost_log::extract<log_level>("Severity", record);
+        const bool isReserved = level && *level >= log_level::notice;
+        m_writer.write(line, now(), isReserved ? line_priority::reserved : line_priority::normal);
     }
 
     bool dropUnformatted()
@@ -86,7 +93,14 @@
         return time_point{std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch())};
     }
 
-    bounded_writer m_writer{STDOUT_FILENO, {}};
+    static bounded_writer_settings settings()
+    {
+        bounded_writer_settings values;
+        values.reservedLines = reservedLogLines;
+        return values;
+    }
+
+    bounded_writer m_writer{STDOUT_FILENO, settings()};
 };
 
 boost::shared_ptr<bounded_backend> &boundedBackend()
@@ -102,7 +116,7 @@
         return;
     }
     // Formatting costs far more than counting, and most lines are dropped just when the process has the least time.
-    if (level == log_level::info && boundedBackend() && boundedBackend()->dropUnformatted()) {
+    if (level <= log_level::info && boundedBackend() && boundedBackend()->dropUnformatted()) {
         return;
     }
 
@@ -137,6 +151,11 @@
     write(log_level::info, m_prefix, message, fields);
 }
 
+void logger::notice(std::string_view message, std::initializer_list<log_field> fields) const
+{
+    write(log_level::notice, m_prefix, message, fields);
+}
+
 void logger::warning(std::string_view message, std::initializer_list<log_field> fields) const
 {
     write(log_level::warning, m_prefix, message, fields);
--- a/src/runtime/logger.h
+++ b/src/runtime/logger.h
@@ -13,6 +13,7 @@
 enum class log_level {
     debug,
     info,
+    notice, /**< A rare or periodic line that the rate limit of the log must not drop. */
     warning,
     error,
 };
@@ -53,6 +54,7 @@
 
     void debug(std::string_view message, std::initializer_list<log_field> fields = {}) const;
     void info(std::string_view message, std::initializer_list<log_field> fields = {}) const;
+    void notice(std::string_view message, std::initializer_list<log_field> fields = {}) const;
     void warning(std::string_view message, std::initializer_list<log_field> fields = {}) const;
     void error(std::string_view message, std::initializer_list<log_field> fields = {}) const;
 
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -4,3 +4,4 @@
 
 #include "runtime/event_loop.h"
 #include "runtime/logger.h"
+#include "runtime/processor_clock.h"
--- a/src/scheduler/scheduled_job.h
+++ b/src/scheduler/scheduled_job.h
@@ -7,6 +7,7 @@
 #include "wire/wire.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -88,6 +89,7 @@
     duration criticalPath{}; /**< Declared run time of the longest chain of dependent steps. */
     bool isLongRunning = false; /**< Has steps whose tasks run until the job is cancelled. */
     bool mayHaveWaitingTasks = true; /**< Something has changed since placement last found no task of the job waiting. */
+    std::optional<time_point> awaitsStartSince; /**< When the job was accepted, until its first start order. Not set for a restored job. */
     wall_time finishedAt{};
     bool isNew = true; /**< The job description is not part of any journal batch yet. */
     std::uint64_t batch = 0; /**< Number of the last batch that contains the job. */
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -209,11 +209,13 @@
         return;
     }
     if (m_active.size() >= m_settings.maximumJobs) {
+        ++countersOf(queue->service).refusedJobs;
         addDecision("refuse", job, {}, {}, "active=" + std::to_string(m_active.size()) + " limit=" + std::to_string(m_settings.maximumJobs));
         refuse(token, "too many unfinished jobs", m_settings.refusalDelay);
         return;
     }
     if (const auto retryDelay = findRetryDelay(job, work, *queue)) {
+        ++countersOf(queue->service).refusedJobs;
         refuse(token, "the job would wait too long for an executor", *retryDelay);
         return;
     }
@@ -222,6 +224,8 @@
     auto added = makeJob(job, work);
     scheduled_job &accepted = *added;
     m_jobs[job] = std::move(added);
+    accepted.awaitsStartSince = m_now;
+    ++countersOf(queue->service).acceptedJobs;
     m_active.push_back(&accepted);
     m_changed.push_back(&accepted);
     const double expectedWork = static_cast<double>(declaredWork(accepted.work)) * runTimeRatio(queue->name);
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -8,6 +8,7 @@
 #include "scheduler/run_time_ratio.h"
 #include "scheduler/scheduled_job.h"
 #include "scheduler/scheduler_action.h"
+#include "scheduler/scheduler_counters.h"
 #include "scheduler/scheduler_settings.h"
 #include "scheduler/service_demand.h"
 
@@ -139,6 +140,14 @@
     /** Whether an executor has rejected an order because it has received a higher fencing token. The owner must then stop leading. */
     bool isDeposed() const;
 
+    // ---- inspection ----
+
+    /** Work since lead(). */
+    const scheduler_counters &counters() const;
+
+    /** Returns the state of each service that has executors or waiting tasks, by name. Looks at all executors and unfinished jobs. */
+    std::map<std::string, service_status> serviceStatuses(time_point now) const;
+
     std::size_t jobCount() const;
     std::size_t executorCount() const;
     const scheduled_job *findJob(const std::string &id) const;
@@ -256,6 +265,11 @@
     void addWaitingWork(service_load &load, const scheduled_job &job) const;
     double runTimeRatio(const std::string &queue) const;
 
+    // counters
+    service_counters &countersOf(const std::string &service);
+    service_counters &countersOf(const scheduled_job &job);
+    void countStart(scheduled_job &job, time_point now);
+
     // placement
     void place(time_point now, wall_time wallNow);
     std::vector<ranked_job> rankWaitingJobs(wall_time wallNow) const;
@@ -308,6 +322,7 @@
     bool m_isBatchUnconfirmed = false; /**< The last batch is not confirmed yet. */
     bool m_isDeposed = false;
     bool m_isRegistryKnown = false; /**< All entries of the registry have been passed at least once. */
+    scheduler_counters m_counters;
     std::int64_t m_fence = 0;
     wall_time m_wallNow{};
     time_point m_evacuateFrom{}; /**< Long-running tasks are not evacuated before: stops of the previous leader may still be taking effect on runs that are
--- a/src/scheduler/scheduler_batches.cpp
+++ b/src/scheduler/scheduler_batches.cpp
@@ -68,6 +68,10 @@
         }
     }
     m_isBatchUnconfirmed = true;
+    ++m_counters.batches;
+    for (const journal_entry &entry : batch.entries) {
+        m_counters.batchBytes += entry.key.size() + entry.value.size();
+    }
     return batch;
 }
 
--- a/src/scheduler/scheduler_ends.cpp
+++ b/src/scheduler/scheduler_ends.cpp
@@ -23,6 +23,7 @@
     addDecision("end", entry.task.job, toText(entry.task), executor.description.id,
                 "run=" + std::to_string(entry.run) + " end=" + std::string(name(entry.end)) + " number=" + std::to_string(entry.number));
     scheduled_job &job = *findMutableJob(entry.task.job);
+    ++countersOf(job).ends.at(static_cast<std::size_t>(entry.end));
     const wire::step_record &step = job.work.steps[static_cast<std::size_t>(entry.task.step)];
     if (entry.end == run_end::done && !step.longRunning && run->phase == run_phase::running && run->startedAt != time_point{}) {
         const auto measured = std::chrono::duration_cast<std::chrono::milliseconds>(now - run->startedAt).count();
--- a/src/scheduler/scheduler_executors.cpp
+++ b/src/scheduler/scheduler_executors.cpp
@@ -238,13 +238,16 @@
 void scheduler::loseRun(const executor_state &executor, const run_key &key, std::string_view loss, time_point now)
 {
     addDecision("run-lost", key.task.job, toText(key.task), executor.description.id, "run=" + std::to_string(key.run) + " loss=" + std::string(loss));
-    findMutableJob(key.task.job)->task(key.task).notBefore = now;
+    scheduled_job &job = *findMutableJob(key.task.job);
+    ++countersOf(job).lostRuns;
+    job.task(key.task).notBefore = now;
     releaseRun(key);
 }
 
 void scheduler::dropIdleExecutors()
 {
     std::erase_if(m_executors, [this](const auto &entry) {
+        ++m_counters.executorVisits;
         const executor_state &executor = entry.second;
         return !executor.isListed && executor.runs.empty() && executor.unansweredStarts.empty() && !executor.isPolling && m_now > executor.leaseExpiry;
     });
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -33,6 +33,7 @@
     run.phaseStartedAt = now;
     run.orderedAt = now;
     run.isOrderInFlight = true;
+    countStart(job, now);
     start_order order{targetOf(executor), key.task, key.run, job.work.payload, job.task(key.task).checkpoint, {}, grantLease(executor, now)};
     addDecision("start", key.task.job, toText(key.task), run.executor, "run=" + std::to_string(key.run) + " batch=" + std::to_string(m_batch));
     m_actions.emplace_back(std::move(order));
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -42,6 +42,7 @@
     service_candidates *candidates = nullptr;
     std::string_view service;
     for (auto &[id, executor] : m_executors) {
+        ++m_counters.executorVisits;
         if (!executor.isSchedulable(now)) {
             continue;
         }
@@ -52,6 +53,7 @@
         candidates->executors.push_back(&executor);
     }
     for (const ranked_job &ranked : rankWaitingJobs(wallNow)) {
+        ++m_counters.jobVisits;
         placeJob(ranked, now, wallNow);
         ranked.job->mayHaveWaitingTasks = hasWaitingTasks(*ranked.job);
     }
@@ -229,6 +231,7 @@
     executor_state *best = nullptr;
     std::int64_t bestCost = std::numeric_limits<std::int64_t>::max();
     for (executor_state *executor : candidates.executors) {
+        ++m_counters.candidateVisits;
         if (!canRun(*executor, step, taskId)) {
             continue;
         }
--- a/src/scheduler/scheduler_polls.cpp
+++ b/src/scheduler/scheduler_polls.cpp
@@ -15,6 +15,7 @@
 {
     std::vector<poll_order> orders;
     for (auto &[id, executor] : m_executors) {
+        ++m_counters.executorVisits;
         if (auto order = makePoll(executor, now)) {
             orders.push_back(std::move(*order));
         }
@@ -46,6 +47,7 @@
     if (executor.isSynchronised && executor.failedPolls == 0 && !executor.runs.empty() && !hasUnrecorded && !needsPromptList(executor)) {
         order.wait = m_settings.pollWait;
     }
+    ++m_counters.pollOrders;
     executor.isPolling = true;
     executor.isPollGrantingLease = order.leaseEnd.has_value();
     executor.pollAcknowledges = order.acknowledgedUpTo;
--- a/src/scheduler/scheduler_runs.cpp
+++ b/src/scheduler/scheduler_runs.cpp
@@ -54,10 +54,12 @@
 
 void scheduler::decide(time_point now, wall_time wallNow)
 {
+    ++m_counters.rounds;
     measureDecisionInterval(now);
     m_now = now;
     m_wallNow = wallNow;
     for (auto &[id, executor] : m_executors) {
+        ++m_counters.executorVisits;
         if (now >= executor.nextCheck) {
             checkExecutor(executor, now);
         }
--- a/tests/runtime/bounded_writer_test.cpp
+++ b/tests/runtime/bounded_writer_test.cpp
@@ -114,3 +114,21 @@
     writer.write("second", start + 1s);
     CHECK(pipe.readAll() == "first\nlog: lines were left out count=1\nsecond\n");
 }
+
+// Guards against losing warnings and periodic summaries in a flood of informational lines, just when they tell what overloads the process.
+TEST_CASE("a flood of lines of normal priority leaves room for reserved ones")
+{
+    const pipe_fixture pipe;
+    bounded_writer_settings settings;
+    settings.linesPerSecond = 0;
+    settings.burstLines = 20;
+    settings.reservedLines = 5;
+    bounded_writer writer(pipe.ends[1], settings);
+    for (int number = 0; number < 100; ++number) {
+        writer.write("normal", time_point{1s});
+    }
+    CHECK(writer.droppedLines() == 85);
+    CHECK(writer.dropUnformatted(time_point{1s}));
+    writer.write("summary", time_point{1s}, line_priority::reserved);
+    CHECK(pipe.readAll().ends_with("summary\n"));
+}
