--- a/src/scheduler/executor_state.h
+++ b/src/scheduler/executor_state.h
@@ -6,6 +6,7 @@
 #include "scheduler/task_id.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -60,6 +61,8 @@
     time_point avoidUntil{}; /**< No new runs are placed here before this time. */
     int consecutiveFailures = 0; /**< Failed runs of different jobs since the last successful run. */
     std::string lastFailedJob;
+    bool isTouched = false; /**< Has changed since the scheduler last looked at what it is due for and whether it accepts work. */
+    std::optional<time_point> wakeAt; /**< Its time in the wake queue. */
 
     /** Capacity that is not reserved. */
     resources availableCapacity() const
--- a/src/scheduler/job_records.cpp
+++ b/src/scheduler/job_records.cpp
@@ -66,6 +66,19 @@
     return record;
 }
 
+/** Returns the smallest amount of each resource that a step of the job reserves. @pre the job has a step */
+resources smallestDemandOf(const wire::work_record &work)
+{
+    resources smallest = reservedBy(work.steps.front());
+    for (const wire::step_record &step : work.steps) {
+        const resources demand = reservedBy(step);
+        smallest.cpuMillicores = std::min(smallest.cpuMillicores, demand.cpuMillicores);
+        smallest.memoryMegabytes = std::min(smallest.memoryMegabytes, demand.memoryMegabytes);
+        smallest.accelerators = std::min(smallest.accelerators, demand.accelerators);
+    }
+    return smallest;
+}
+
 } // namespace
 
 std::unique_ptr<scheduled_job> makeJob(std::string id, const wire::work_record &work)
@@ -74,6 +87,7 @@
     job->id = std::move(id);
     job->work = work;
     job->criticalPath = computeCriticalPath(job->work);
+    job->smallestDemand = smallestDemandOf(job->work);
     job->isLongRunning = std::any_of(work.steps.begin(), work.steps.end(), [](const wire::step_record &step) { return step.longRunning; });
 
     const bool timed = job->work.repeatCount > 0;
--- a/src/scheduler/scheduled_job.h
+++ b/src/scheduler/scheduled_job.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time_types.h"
+#include "scheduler/resources.h"
 #include "scheduler/run_phase.h"
 #include "scheduler/task_id.h"
 #include "scheduler/work_state.h"
@@ -86,6 +87,7 @@
     work_state state = work_state::queued;
     bool hasBegun = false; /**< A task is known to have started. */
     std::vector<scheduled_occurrence> occurrences;
+    resources smallestDemand; /**< What a run of any of its tasks reserves at least of each resource. */
     duration criticalPath{}; /**< Declared run time of the longest chain of dependent steps. */
     bool isLongRunning = false; /**< Has steps whose tasks run until the job is cancelled. */
     bool mayHaveWaitingTasks = true; /**< Something has changed since placement last found no task of the job waiting. */
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -174,6 +174,9 @@
         }
     }
     restoreLeases(now, hasResigned);
+    for (auto &[id, executor] : m_executors) {
+        touch(executor);
+    }
     addDecision("lead", {}, {}, {}, "fence=" + std::to_string(fence) + " jobs=" + std::to_string(m_jobs.size()) + " active=" + std::to_string(m_active.size()));
     endExhaustedJobs();
 }
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -3,6 +3,7 @@
 #include "core/time_types.h"
 #include "scheduler/admission_control.h"
 #include "scheduler/arrival_window.h"
+#include "scheduler/capacity_index.h"
 #include "scheduler/executor_state.h"
 #include "scheduler/queue_configuration.h"
 #include "scheduler/run_time_ratio.h"
@@ -11,7 +12,9 @@
 #include "scheduler/scheduler_counters.h"
 #include "scheduler/scheduler_settings.h"
 #include "scheduler/service_demand.h"
+#include "scheduler/wake_queue.h"
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -148,6 +151,10 @@
     /** Returns the state of each service that has executors or waiting tasks, by name. Looks at all executors and unfinished jobs. */
     std::map<std::string, service_status> serviceStatuses(time_point now) const;
 
+    /** Returns the executors whose changes have not been noted, which would not be polled, checked or used in time. Empty unless there is a fault; for tests.
+        Looks at all executors. */
+    std::vector<std::string> untrackedChanges(time_point now) const;
+
     std::size_t jobCount() const;
     std::size_t executorCount() const;
     const scheduled_job *findJob(const std::string &id) const;
@@ -182,13 +189,27 @@
         std::int64_t dueMilliseconds = 0; /**< Wall-clock time by which the job should finish. */
     };
 
-    /** Schedulable executors of a service in one round of placement. */
-    struct service_candidates
+    /** What a round of placement has found out about a service. */
+    struct service_round
     {
-        std::vector<executor_state *> executors;
+        std::string service;
         std::optional<resources> unplaceable; /**< Last demand without placement constraints that fitted nowhere; larger demands need no search. */
     };
 
+    /** Which executors of a list a search for a task need not look at. */
+    struct search_bounds
+    {
+        std::int64_t minimumPenalty = 0; /**< Smallest penalty of the executors that were not compared before. */
+        std::int64_t freeMillicoresLimit = std::numeric_limits<std::int64_t>::max(); /**< Those with this free capacity or more are known to have no room. */
+    };
+
+    /** The best executor for a task among those compared so far. */
+    struct executor_choice
+    {
+        executor_state *executor = nullptr;
+        std::int64_t cost = std::numeric_limits<std::int64_t>::max();
+    };
+
     bool restoreLease(const std::string &executor, const std::string &value);
     scheduled_job *findMutableJob(const std::string &id);
     scheduled_task *findTask(const task_id &taskId);
@@ -242,11 +263,19 @@
     void dropExpiredLeaseRecords(time_point now);
     order_target targetOf(const executor_state &executor) const;
     std::optional<poll_order> makePoll(executor_state &executor, time_point now);
+    static bool needsPoll(const executor_state &executor);
     bool needsPromptList(const executor_state &executor);
     duration pollSpacing() const;
     void checkExecutor(executor_state &executor, time_point now);
     bool hasOrdersToRepeat(const executor_state &executor);
-    void dropIdleExecutors();
+    static bool isDroppable(const executor_state &executor);
+    void dropExecutor(executor_state &executor);
+
+    // executors that have changed or are due
+    void touch(executor_state &executor);
+    void refreshTouched(time_point now);
+    static std::optional<time_point> nextWake(const executor_state &executor, time_point now);
+    void checkDueExecutors(time_point now);
     void removeExpiredJobs(wall_time wallNow);
 
     void acknowledgeUnrecordedEnds();
@@ -272,14 +301,18 @@
 
     // placement
     void place(time_point now, wall_time wallNow);
-    std::vector<ranked_job> rankWaitingJobs(wall_time wallNow) const;
+    std::vector<ranked_job> rankWaitingJobs(wall_time wallNow);
     int latenessOf(const scheduled_job &job, const queue_policy &queue, wall_time wallNow) const;
     void addDemand(service_demand &demand, const scheduled_job &job) const;
-    void placeJob(const ranked_job &ranked, time_point now, wall_time wallNow);
+    void placeJob(scheduled_job &job, service_round &round, time_point now, wall_time wallNow);
     static bool hasWaitingTasks(const scheduled_job &job);
-    void placeStep(scheduled_job &job, service_candidates &candidates, int occurrence, int step, time_point now);
-    void placeGang(scheduled_job &job, service_candidates &candidates, int occurrence, int step, time_point now);
-    executor_state *chooseExecutor(scheduled_job &job, service_candidates &candidates, const task_id &taskId);
+    void placeStep(scheduled_job &job, service_round &round, int occurrence, int step, time_point now);
+    void placeGang(scheduled_job &job, service_round &round, int occurrence, int step, time_point now);
+    executor_state *chooseExecutor(scheduled_job &job, service_round &round, const task_id &taskId);
+    void compareAll(scheduled_job &job, const capacity_index::entries &executors, const task_id &taskId, executor_choice &best);
+    void compareTightest(scheduled_job &job, const capacity_index::entries &executors, const task_id &taskId, const search_bounds &bounds,
+                         executor_choice &best);
+    void compare(scheduled_job &job, executor_state &executor, const task_id &taskId, executor_choice &best);
     bool canRun(const executor_state &executor, const wire::step_record &step, const task_id &taskId) const;
     std::int64_t placementCost(scheduled_job &job, const task_id &taskId, const executor_state &executor);
     int countServing(const executor_state &executor);
@@ -304,7 +337,10 @@
     std::vector<std::string> m_unrecordedEnds; /**< Executors with applied ends that are not recorded. */
     std::vector<std::pair<std::string, std::int64_t>> m_recordingEnds; /**< Executors and the number of their last end that the unconfirmed batch covers. */
     std::vector<std::string> m_removedJobs; /**< Jobs whose journal records are to be removed. */
-    std::map<std::string, service_candidates> m_candidates; /**< By service, during one round of placement. */
+    std::vector<executor_state *> m_touched; /**< @see touch() */
+    wake_queue m_wakes;
+    capacity_index m_capacity; /**< Executors that accept work. */
+    std::map<std::string, service_round> m_rounds; /**< By service, during one round of placement. */
     admission_control m_admission;
     time_point m_nextAdmissionUpdate{};
     duration m_decisionInterval{}; /**< Between two calls of decide(), averaged. */
--- a/src/scheduler/scheduler_admission.cpp
+++ b/src/scheduler/scheduler_admission.cpp
@@ -54,10 +54,8 @@
     }
     m_nextAdmissionUpdate = now + m_settings.admissionInterval;
     std::map<std::string, service_load> loads;
-    for (const auto &[service, candidates] : m_candidates) {
-        for (const executor_state *executor : candidates.executors) {
-            loads[service].capacityMillicores += executor->description.capacity.cpuMillicores;
-        }
+    for (const auto &[service, capacity] : m_capacity.capacities()) {
+        loads[service].capacityMillicores = capacity;
     }
     for (const scheduled_job *job : m_active) {
         const queue_policy *queue = job->isLongRunning || job->mayHaveWaitingTasks ? queueOf(*job) : nullptr;
--- a/src/scheduler/scheduler_batches.cpp
+++ b/src/scheduler/scheduler_batches.cpp
@@ -102,6 +102,7 @@
         const auto found = m_executors.find(id);
         if (found != m_executors.end()) {
             found->second.endRecorded = found->second.endApplied;
+            touch(found->second);
         }
     }
 }
@@ -133,6 +134,7 @@
         if (found != m_executors.end() && found->second.endApplied >= end) {
             found->second.endRecorded = std::max(found->second.endRecorded, end);
             found->second.nextPoll = std::min(found->second.nextPoll, std::max(now, found->second.lastPollResponseAt + pollSpacing()));
+            touch(found->second);
         }
     }
     std::erase_if(m_unrecordedEnds, [this](const std::string &id) {
--- a/src/scheduler/scheduler_evacuation.cpp
+++ b/src/scheduler/scheduler_evacuation.cpp
@@ -17,6 +17,7 @@
     if (found != m_executors.end()) {
         found->second.isEvacuating = isEvacuating;
         found->second.nextCheck = m_now;
+        touch(found->second);
     }
 }
 
@@ -77,9 +78,11 @@
 bool scheduler::hasAlternativeExecutor(scheduled_job &job, const task_id &taskId, const executor_state &from, time_point now)
 {
     const wire::step_record &step = job.work.steps[static_cast<std::size_t>(taskId.step)];
-    return std::any_of(m_executors.begin(), m_executors.end(), [&](const auto &entry) {
-        const executor_state &executor = entry.second;
-        return &executor != &from && executor.description.service == from.description.service && executor.isSchedulable(now) && canRun(executor, step, taskId);
+    m_capacity.noteDemand(from.description.service, reservedBy(step).memoryMegabytes);
+    const capacity_index::entries &executors = m_capacity.ofService(from.description.service);
+    return std::any_of(executors.lower_bound(reservedBy(step).cpuMillicores), executors.end(), [&](const capacity_index::entry &entry) {
+        ++m_counters.candidateVisits;
+        return entry.executor != &from && entry.executor->isSchedulable(now) && canRun(*entry.executor, step, taskId);
     });
 }
 
--- a/src/scheduler/scheduler_executors.cpp
+++ b/src/scheduler/scheduler_executors.cpp
@@ -18,6 +18,7 @@
     executor.description = description;
     executor.isListed = true;
     updateClock(executor, description.clockMilliseconds, now);
+    touch(executor);
 }
 
 /** Handles a new boot of an executor. Its end numbers and its clock restart. */
@@ -97,6 +98,7 @@
     const auto found = m_executors.find(id);
     if (found != m_executors.end()) {
         found->second.isListed = false;
+        touch(found->second);
     }
 }
 
@@ -244,13 +246,4 @@
     releaseRun(key);
 }
 
-void scheduler::dropIdleExecutors()
-{
-    std::erase_if(m_executors, [this](const auto &entry) {
-        ++m_counters.executorVisits;
-        const executor_state &executor = entry.second;
-        return !executor.isListed && executor.runs.empty() && executor.unansweredStarts.empty() && !executor.isPolling && m_now > executor.leaseExpiry;
-    });
-}
-
 } // namespace parsleyglade
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -38,6 +38,7 @@
     addDecision("start", key.task.job, toText(key.task), run.executor, "run=" + std::to_string(key.run) + " batch=" + std::to_string(m_batch));
     m_actions.emplace_back(std::move(order));
     executor.nextPoll = std::min(executor.nextPoll, now + m_settings.orderRetryDelay);
+    touch(executor);
 }
 
 /** Marks the run as started. The start of a long-running task is recorded at once, since its job may not change again for a long time. */
@@ -58,7 +59,9 @@
     run.phase = run_phase::stopping;
     run.phaseStartedAt = now;
     run.isOrderInFlight = false;
-    m_executors[run.executor].nextCheck = now; // the check sends the stop order
+    executor_state &executor = m_executors[run.executor];
+    executor.nextCheck = now; // the check sends the stop order
+    touch(executor);
 }
 
 void scheduler::sendStop(const run_key &key, scheduled_run &run, time_point now)
@@ -96,6 +99,7 @@
         return;
     }
     executor_state &executor = found->second;
+    touch(executor);
     if (response.result == order_result::other_boot) {
         handleLostRuns(executor, run_loss::replaced, now);
         executor.isListed = false;
@@ -200,6 +204,7 @@
     if (found == m_executors.end()) {
         return;
     }
+    touch(found->second);
     if (response.result == order_result::other_boot) {
         handleLostRuns(found->second, run_loss::replaced, now);
         found->second.isListed = false;
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -38,23 +38,15 @@
 
 void scheduler::place(time_point now, wall_time wallNow)
 {
-    m_candidates.clear();
-    service_candidates *candidates = nullptr;
-    std::string_view service;
-    for (auto &[id, executor] : m_executors) {
-        ++m_counters.executorVisits;
-        if (!executor.isSchedulable(now)) {
-            continue;
-        }
-        if (candidates == nullptr || executor.description.service != service) {
-            service = executor.description.service;
-            candidates = &m_candidates[executor.description.service];
-        }
-        candidates->executors.push_back(&executor);
-    }
+    refreshTouched(now);
+    m_rounds.clear();
     for (const ranked_job &ranked : rankWaitingJobs(wallNow)) {
         ++m_counters.jobVisits;
-        placeJob(ranked, now, wallNow);
+        service_round &round = m_rounds.try_emplace(ranked.queue->service, service_round{ranked.queue->service, {}}).first->second;
+        if (round.unplaceable && round.unplaceable->fitsInto(ranked.job->smallestDemand)) {
+            continue; // an earlier job of this round needed no more and found no room
+        }
+        placeJob(*ranked.job, round, now, wallNow);
         ranked.job->mayHaveWaitingTasks = hasWaitingTasks(*ranked.job);
     }
     updateAdmission(now);
@@ -122,13 +114,17 @@
     return elapsed > m_settings.uselessAfterObjectives * objective ? 2 : (elapsed > objective ? 1 : 0);
 }
 
-/** Ranks the jobs that may have a task to place. Jobs whose tasks all run or have ended are left out. */
-std::vector<scheduler::ranked_job> scheduler::rankWaitingJobs(wall_time wallNow) const
+/** Ranks the jobs that may have a task to place. Jobs whose tasks all run or have ended are left out, and those for which no executor has room. */
+std::vector<scheduler::ranked_job> scheduler::rankWaitingJobs(wall_time wallNow)
 {
     std::vector<ranked_job> ranking;
     for (scheduled_job *job : m_active) {
         const queue_policy *queue = job->mayHaveWaitingTasks ? queueOf(*job) : nullptr;
-        if (queue != nullptr) {
+        if (queue == nullptr) {
+            continue;
+        }
+        m_capacity.noteDemand(queue->service, job->smallestDemand.memoryMegabytes);
+        if (m_capacity.largestFree(queue->service) >= job->smallestDemand.cpuMillicores) {
             ranking.push_back({job, queue, latenessOf(*job, *queue, wallNow), objectiveStart(*job) + objectiveMilliseconds(*job, *queue)});
         }
     }
@@ -141,21 +137,17 @@
     return ranking;
 }
 
-void scheduler::placeJob(const ranked_job &ranked, time_point now, wall_time wallNow)
+void scheduler::placeJob(scheduled_job &job, service_round &round, time_point now, wall_time wallNow)
 {
-    const auto found = m_candidates.find(ranked.queue->service);
-    if (found == m_candidates.end() || found->second.executors.empty()) {
-        return;
-    }
-    for (std::size_t occurrence = 0; occurrence < ranked.job->occurrences.size(); ++occurrence) {
-        for (std::size_t step = 0; step < ranked.job->work.steps.size(); ++step) {
-            if (!isStepReady(*ranked.job, static_cast<int>(occurrence), static_cast<int>(step), wallNow)) {
+    for (std::size_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
+        for (std::size_t step = 0; step < job.work.steps.size(); ++step) {
+            if (!isStepReady(job, static_cast<int>(occurrence), static_cast<int>(step), wallNow)) {
                 continue;
             }
-            if (ranked.job->work.steps[step].gang) {
-                placeGang(*ranked.job, found->second, static_cast<int>(occurrence), static_cast<int>(step), now);
+            if (job.work.steps[step].gang) {
+                placeGang(job, round, static_cast<int>(occurrence), static_cast<int>(step), now);
             } else {
-                placeStep(*ranked.job, found->second, static_cast<int>(occurrence), static_cast<int>(step), now);
+                placeStep(job, round, static_cast<int>(occurrence), static_cast<int>(step), now);
             }
         }
     }
@@ -171,7 +163,7 @@
     return std::all_of(after.begin(), after.end(), [&](int before) { return current.steps[static_cast<std::size_t>(before)].isDone(); });
 }
 
-void scheduler::placeStep(scheduled_job &job, service_candidates &candidates, int occurrence, int step, time_point now)
+void scheduler::placeStep(scheduled_job &job, service_round &round, int occurrence, int step, time_point now)
 {
     auto &tasks = job.occurrences[static_cast<std::size_t>(occurrence)].steps[static_cast<std::size_t>(step)].tasks;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
@@ -180,7 +172,7 @@
             continue;
         }
         const task_id taskId{job.id, occurrence, step, static_cast<int>(index)};
-        executor_state *executor = chooseExecutor(job, candidates, taskId);
+        executor_state *executor = chooseExecutor(job, round, taskId);
         if (executor == nullptr) {
             return; // the other tasks of the step need the same resources
         }
@@ -188,7 +180,7 @@
     }
 }
 
-void scheduler::placeGang(scheduled_job &job, service_candidates &candidates, int occurrence, int step, time_point now)
+void scheduler::placeGang(scheduled_job &job, service_round &round, int occurrence, int step, time_point now)
 {
     auto &tasks = job.occurrences[static_cast<std::size_t>(occurrence)].steps[static_cast<std::size_t>(step)].tasks;
     int lastRun = 0;
@@ -202,15 +194,17 @@
     const resources demand = reservedBy(job.work.steps[static_cast<std::size_t>(step)]);
     std::vector<executor_state *> chosen;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
-        executor_state *executor = chooseExecutor(job, candidates, {job.id, occurrence, step, static_cast<int>(index)});
+        executor_state *executor = chooseExecutor(job, round, {job.id, occurrence, step, static_cast<int>(index)});
         if (executor == nullptr) {
             break;
         }
         executor->used += demand;
+        m_capacity.update(*executor);
         chosen.push_back(executor);
     }
     for (executor_state *executor : chosen) {
         executor->used -= demand;
+        m_capacity.update(*executor);
     }
     if (chosen.size() < tasks.size()) {
         return;
@@ -220,31 +214,66 @@
     }
 }
 
-executor_state *scheduler::chooseExecutor(scheduled_job &job, service_candidates &candidates, const task_id &taskId)
+executor_state *scheduler::chooseExecutor(scheduled_job &job, service_round &round, const task_id &taskId)
 {
     const wire::step_record &step = job.work.steps[static_cast<std::size_t>(taskId.step)];
     const resources demand = reservedBy(step);
-    if (candidates.unplaceable && candidates.unplaceable->fitsInto(demand)) {
+    if (round.unplaceable && round.unplaceable->fitsInto(demand)) {
         return nullptr;
     }
 
-    executor_state *best = nullptr;
-    std::int64_t bestCost = std::numeric_limits<std::int64_t>::max();
-    for (executor_state *executor : candidates.executors) {
-        ++m_counters.candidateVisits;
-        if (!canRun(*executor, step, taskId)) {
-            continue;
+    // An earlier search in this round has found no room from its demand on. Unless this demand is smaller in another resource, it need not look there.
+    const bool isExceeded
+        = round.unplaceable && round.unplaceable->memoryMegabytes <= demand.memoryMegabytes && round.unplaceable->accelerators <= demand.accelerators;
+    const std::int64_t limit = isExceeded ? round.unplaceable->cpuMillicores : std::numeric_limits<std::int64_t>::max();
+
+    executor_choice best;
+    const capacity_index::entries &executors = m_capacity.ofService(round.service);
+    if (step.fillsIdle) {
+        compareAll(job, executors, taskId, best);
+    } else {
+        if (!step.preferredRack.empty()) {
+            compareTightest(job, m_capacity.onRack(round.service, step.preferredRack), taskId, {0, limit}, best);
         }
-        const std::int64_t cost = placementCost(job, taskId, *executor);
-        if (cost < bestCost) {
-            best = executor;
-            bestCost = cost;
+        compareTightest(job, executors, taskId, {step.preferredRack.empty() ? 0 : otherRackCost, limit}, best);
+    }
+    if (best.executor == nullptr && step.requiredLabel.empty() && step.maximumPerExecutor == 0) {
+        round.unplaceable = demand;
+    }
+    return best.executor;
+}
+
+void scheduler::compareAll(scheduled_job &job, const capacity_index::entries &executors, const task_id &taskId, executor_choice &best)
+{
+    for (const capacity_index::entry &candidate : executors) {
+        compare(job, *candidate.executor, taskId, best);
+    }
+}
+
+/** Compares executors from the tightest fit on, and stops when no later one can cost less: the cost is the capacity left free and a penalty. */
+void scheduler::compareTightest(scheduled_job &job, const capacity_index::entries &executors, const task_id &taskId, const search_bounds &bounds,
+                                executor_choice &best)
+{
+    const std::int64_t demand = reservedBy(job.work.steps[static_cast<std::size_t>(taskId.step)]).cpuMillicores;
+    for (auto candidate = executors.lower_bound(demand); candidate != executors.end(); ++candidate) {
+        const bool isCostlier = best.executor != nullptr && candidate->freeMillicores + bounds.minimumPenalty >= best.cost;
+        if (isCostlier || candidate->freeMillicores >= bounds.freeMillicoresLimit) {
+            return;
         }
+        compare(job, *candidate->executor, taskId, best);
+    }
+}
+
+void scheduler::compare(scheduled_job &job, executor_state &executor, const task_id &taskId, executor_choice &best)
+{
+    ++m_counters.candidateVisits;
+    if (!canRun(executor, job.work.steps[static_cast<std::size_t>(taskId.step)], taskId)) {
+        return;
     }
-    if (best == nullptr && step.requiredLabel.empty() && step.maximumPerExecutor == 0) {
-        candidates.unplaceable = demand;
+    const std::int64_t cost = placementCost(job, taskId, executor);
+    if (cost < best.cost) {
+        best = {&executor, cost};
     }
-    return best;
 }
 
 bool scheduler::canRun(const executor_state &executor, const wire::step_record &step, const task_id &taskId) const
@@ -324,6 +353,7 @@
 
     const run_key key{taskId, run};
     attachRun(executor, job, key);
+    m_capacity.update(executor);
     m_planned.push_back(key);
     markChanged(job);
 }
--- a/src/scheduler/scheduler_polls.cpp
+++ b/src/scheduler/scheduler_polls.cpp
@@ -14,9 +14,10 @@
 std::vector<poll_order> scheduler::takePolls(time_point now)
 {
     std::vector<poll_order> orders;
-    for (auto &[id, executor] : m_executors) {
+    refreshTouched(now);
+    for (executor_state *executor : m_wakes.due(now)) {
         ++m_counters.executorVisits;
-        if (auto order = makePoll(executor, now)) {
+        if (auto order = makePoll(*executor, now)) {
             orders.push_back(std::move(*order));
         }
     }
@@ -31,12 +32,11 @@
 
 std::optional<poll_order> scheduler::makePoll(executor_state &executor, time_point now)
 {
-    const bool hasUnacknowledged = executor.endRecorded > executor.endAcknowledged;
-    const bool isNeeded = !executor.isSynchronised || !executor.runs.empty() || hasUnacknowledged;
-    if (executor.isPolling || now < executor.nextPoll || !isNeeded || executor.description.address.empty()) {
+    if (!needsPoll(executor) || now < executor.nextPoll) {
         return std::nullopt;
     }
 
+    const bool hasUnacknowledged = executor.endRecorded > executor.endAcknowledged;
     poll_order order;
     order.target = targetOf(executor);
     order.acknowledgedUpTo = hasUnacknowledged ? executor.endRecorded : 0; // a boot that is not known yet would take the number as one of its own
@@ -51,9 +51,18 @@
     executor.isPolling = true;
     executor.isPollGrantingLease = order.leaseEnd.has_value();
     executor.pollAcknowledges = order.acknowledgedUpTo;
+    touch(executor);
     return order;
 }
 
+/** Whether the executor is to be polled once its next poll is due. */
+bool scheduler::needsPoll(const executor_state &executor)
+{
+    const bool hasUnacknowledged = executor.endRecorded > executor.endAcknowledged;
+    const bool isNeeded = !executor.isSynchronised || !executor.runs.empty() || hasUnacknowledged;
+    return isNeeded && !executor.isPolling && !executor.description.address.empty();
+}
+
 duration scheduler::pollSpacing() const
 {
     return m_settings.pollSpacing + m_settings.pollSpacingPerExecutor * static_cast<std::int64_t>(m_executors.size());
@@ -76,6 +85,7 @@
     }
     executor_state &executor = found->second;
     executor.isPolling = false;
+    touch(executor);
     if (response.boot != 0 && response.boot < executor.description.boot) {
         addDecision("stale-list", {}, {}, id, "boot=" + std::to_string(response.boot) + " known=" + std::to_string(executor.description.boot));
         executor.nextPoll = now;
--- a/src/scheduler/scheduler_runs.cpp
+++ b/src/scheduler/scheduler_runs.cpp
@@ -32,6 +32,7 @@
 {
     executor.used += reservedBy(job.work.steps[static_cast<std::size_t>(key.task.step)]);
     executor.runs.push_back(key);
+    touch(executor);
 }
 
 void scheduler::releaseRun(run_key key)
@@ -45,6 +46,7 @@
     const auto found = m_executors.find(run->executor);
     if (found != m_executors.end() && std::erase(found->second.runs, key) > 0) {
         found->second.used -= reservedBy(job.work.steps[static_cast<std::size_t>(key.task.step)]);
+        touch(found->second);
     }
     scheduled_task &task = job.task(key.task);
     task.lastExecutor = run->executor;
@@ -58,13 +60,7 @@
     measureDecisionInterval(now);
     m_now = now;
     m_wallNow = wallNow;
-    for (auto &[id, executor] : m_executors) {
-        ++m_counters.executorVisits;
-        if (now >= executor.nextCheck) {
-            checkExecutor(executor, now);
-        }
-    }
-    dropIdleExecutors();
+    checkDueExecutors(now);
     dropExpiredLeaseRecords(now);
     place(now, wallNow);
 }
--- a/tests/scheduler/scheduling_simulation.cpp
+++ b/tests/scheduler/scheduling_simulation.cpp
@@ -269,6 +269,9 @@
     if (leader->state->isDeposed() || m_now >= leader->leadershipEnd) {
         return;
     }
+    for (const std::string &id : leader->state->untrackedChanges(m_now)) {
+        addViolation("a change of executor " + id + " is not noted");
+    }
     readRegistry();
     for (const auto &[id, entry] : m_registry) {
         leader->state->updateExecutor(entry, m_now);
--- a/tools/measure-scheduler/scheduler_run.cpp
+++ b/tools/measure-scheduler/scheduler_run.cpp
@@ -19,6 +19,12 @@
 constexpr duration journalDelay = std::chrono::milliseconds{6};
 constexpr duration executorDelay = std::chrono::milliseconds{2};
 constexpr std::int64_t runMilliseconds = 900;
+constexpr duration setUpTime = std::chrono::milliseconds{200}; // executors answer their first poll, and the long-running tasks start
+constexpr int stepsPerJob = 2;
+constexpr double objectiveStretch = 1.6; // of the declared run times of a job's steps
+constexpr std::int64_t objectiveMilliseconds = 600; // added to it
+constexpr duration jobObjective
+    = std::chrono::milliseconds{static_cast<std::int64_t>(objectiveStretch * stepsPerJob * runMilliseconds) + objectiveMilliseconds};
 
 double processorSeconds()
 {
@@ -32,8 +38,10 @@
 class cost_scope
 {
 public:
-    explicit cost_scope(work_cost &cost)
+    cost_scope(work_cost &cost, const run_settings &settings)
         : m_cost(cost)
+        , m_settings(settings)
+        , m_allocations(allocations())
         , m_startedAt(processorSeconds())
     {
         ++m_cost.calls;
@@ -43,10 +51,18 @@
     ~cost_scope()
     {
         m_cost.seconds += processorSeconds() - m_startedAt;
+        m_cost.allocations += allocations() - m_allocations;
     }
 
 private:
+    std::uint64_t allocations() const
+    {
+        return m_settings.allocationCount == nullptr ? 0 : m_settings.allocationCount();
+    }
+
     work_cost &m_cost;
+    const run_settings &m_settings;
+    std::uint64_t m_allocations;
     double m_startedAt;
 };
 
@@ -59,7 +75,7 @@
 
 scheduler_run::scheduler_run(run_settings settings)
     : m_settings(settings)
-    , m_turn(shortestTurn + turnPerExecutor * settings.executors)
+    , m_turn((shortestTurn + turnPerExecutor * settings.executors) * settings.roundShare)
     , m_fleet(executorDelay)
     , m_random(settings.seed)
     , m_dueJobs(busyQueues, 0.0)
@@ -69,35 +85,49 @@
 run_report scheduler_run::measure()
 {
     setUp();
-    for (time_point now = m_start; now < m_start + m_settings.length; now += m_turn) {
-        submitJobs(now);
-        for (const start_delivery &delivery : std::exchange(m_startResponses, {})) {
-            const cost_scope cost(m_report.startResponse);
-            m_scheduler.handleStartResponse(delivery.order, delivery.response, delivery.sentAt, now);
-        }
-        for (const poll_delivery &delivery : m_fleet.advance(now)) {
-            const cost_scope cost(m_report.pollResponse);
-            m_scheduler.handlePollResponse(delivery.executor, delivery.response, delivery.sentAt, now);
+    const time_point arrivalsEnd = m_start + m_settings.length;
+    for (time_point now = m_start; now < arrivalsEnd + m_settings.drain; now += m_turn) {
+        if (now < arrivalsEnd) {
+            submitJobs(now);
         }
-        {
-            const cost_scope cost(m_report.decide);
-            m_scheduler.decide(now, wall(now));
-        }
-        exchangeBatches(now);
-        carryOutActions(now);
-        std::vector<poll_order> polls;
-        {
-            const cost_scope cost(m_report.takePolls);
-            polls = m_scheduler.takePolls(now);
-        }
-        m_report.polls += polls.size();
-        for (const poll_order &poll : polls) {
-            m_fleet.poll(poll, now);
+        advance(now);
+        if (now < m_start + setUpTime) {
+            m_report.afterSetUp = m_scheduler.counters();
         }
     }
+    m_report.unfinishedJobs = m_unfinishedJobs.size();
+    m_report.counters = m_scheduler.counters();
     return m_report;
 }
 
+/** Delivers responses and makes one round of decisions. */
+void scheduler_run::advance(time_point now)
+{
+    for (const start_delivery &delivery : std::exchange(m_startResponses, {})) {
+        const cost_scope cost(m_report.startResponse, m_settings);
+        m_scheduler.handleStartResponse(delivery.order, delivery.response, delivery.sentAt, now);
+    }
+    for (const poll_delivery &delivery : m_fleet.advance(now)) {
+        const cost_scope cost(m_report.pollResponse, m_settings);
+        m_scheduler.handlePollResponse(delivery.executor, delivery.response, delivery.sentAt, now);
+    }
+    {
+        const cost_scope cost(m_report.decide, m_settings);
+        m_scheduler.decide(now, wall(now));
+    }
+    exchangeBatches(now);
+    carryOutActions(now);
+    std::vector<poll_order> polls;
+    {
+        const cost_scope cost(m_report.takePolls, m_settings);
+        polls = m_scheduler.takePolls(now);
+    }
+    m_report.polls += polls.size();
+    for (const poll_order &poll : polls) {
+        m_fleet.poll(poll, now);
+    }
+}
+
 void scheduler_run::setUp()
 {
     queue_configuration configuration;
@@ -107,8 +137,8 @@
         queue_policy queue;
         queue.name = nameOf("queue-", number);
         queue.service = nameOf("service-", number);
-        queue.stretch = 1.6;
-        queue.targetMilliseconds = 600;
+        queue.stretch = objectiveStretch;
+        queue.targetMilliseconds = objectiveMilliseconds;
         queue.maximumAttempts = 3;
         configuration.queues.push_back(queue);
     }
@@ -171,15 +201,15 @@
     const std::string job = "job-" + std::to_string(m_jobNumber++);
     if (!isLongRunning) {
         m_waitingJobs[job] = now;
+        m_calls[m_jobNumber] = job;
     }
-    ++m_report.acceptedJobs;
-    const cost_scope cost(m_report.submit);
+    const cost_scope cost(m_report.submit, m_settings);
     m_scheduler.submit(m_jobNumber, job, work, wall(now));
 }
 
 void scheduler_run::exchangeBatches(time_point now)
 {
-    const cost_scope cost(m_report.batch);
+    const cost_scope cost(m_report.batch, m_settings);
     if (m_unconfirmedBatch != 0 && now >= m_confirmedAt) {
         m_scheduler.confirmBatch(std::exchange(m_unconfirmedBatch, 0), now);
     }
@@ -200,29 +230,61 @@
 {
     std::vector<scheduler_action> actions;
     {
-        const cost_scope cost(m_report.actions);
+        const cost_scope cost(m_report.actions, m_settings);
         actions = m_scheduler.takeActions();
     }
     for (const scheduler_action &action : actions) {
-        const auto *start = std::get_if<start_order>(&action);
-        if (start == nullptr) {
-            continue;
+        if (const auto *order = std::get_if<start_order>(&action)) {
+            start(*order, now);
+        } else if (const auto *response = std::get_if<call_response>(&action)) {
+            handleResponse(*response, now);
+        } else if (const auto *entry = std::get_if<decision_entry>(&action); entry != nullptr && entry->decision == "finish") {
+            handleFinish(entry->job, now);
         }
-        ++m_report.startedTasks;
-        const auto waiting = m_waitingJobs.find(start->task.job);
-        if (waiting != m_waitingJobs.end()) {
-            m_report.startDelays.push_back(now - waiting->second);
-            m_waitingJobs.erase(waiting);
-        }
-        const bool isLongRunning = m_scheduler.findJob(start->task.job)->work.steps.front().longRunning;
-        const double factor = std::uniform_real_distribution<double>(0.5, 1.5)(m_random);
-        const duration runTime = isLongRunning
-            ? std::chrono::duration_cast<duration>(std::chrono::hours{1})
-            : std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(static_cast<double>(runMilliseconds) * factor));
-        m_startResponses.push_back({*start, m_fleet.start(*start, runTime, now), now});
     }
 }
 
+void scheduler_run::start(const start_order &order, time_point now)
+{
+    ++m_report.startedTasks;
+    const auto waiting = m_waitingJobs.find(order.task.job);
+    if (waiting != m_waitingJobs.end()) {
+        m_report.startDelays.push_back(now - waiting->second);
+        m_waitingJobs.erase(waiting);
+    }
+    const bool isLongRunning = m_scheduler.findJob(order.task.job)->work.steps.front().longRunning;
+    const double factor = std::uniform_real_distribution<double>(0.5, 1.5)(m_random);
+    const duration runTime = isLongRunning
+        ? std::chrono::duration_cast<duration>(std::chrono::hours{1})
+        : std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(static_cast<double>(runMilliseconds) * factor));
+    m_startResponses.push_back({order, m_fleet.start(order, runTime, now), now});
+}
+
+void scheduler_run::handleResponse(const call_response &response, time_point now)
+{
+    const auto call = m_calls.extract(response.token);
+    if (call.empty()) {
+        return; // a long-running job
+    }
+    if (response.reply.verdict == wire::work_verdict::done) {
+        ++m_report.acceptedJobs;
+        m_unfinishedJobs[call.mapped()] = now;
+    } else {
+        ++m_report.refusedJobs;
+        m_waitingJobs.erase(call.mapped());
+    }
+}
+
+void scheduler_run::handleFinish(const std::string &job, time_point now)
+{
+    const auto accepted = m_unfinishedJobs.extract(job);
+    if (accepted.empty()) {
+        return;
+    }
+    ++m_report.completedJobs;
+    m_report.lateJobs += now - accepted.mapped() > jobObjective ? 1 : 0;
+}
+
 wall_time scheduler_run::wall(time_point now) const
 {
     return wall_time(std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()));
--- a/tools/measure-scheduler/scheduler_run.h
+++ b/tools/measure-scheduler/scheduler_run.h
@@ -15,7 +15,10 @@
     int executors = 1100; /**< Over all services. */
     bool bursts = false; /**< Each queue in turn gets four times its mean rate, the others a twentieth of theirs. */
     duration length = std::chrono::seconds{20};
+    duration drain{}; /**< Time after it without arrivals, in which accepted jobs can finish. */
+    int roundShare = 1; /**< The leader gets one of so many rounds. */
     std::uint64_t seed = 1;
+    std::uint64_t (*allocationCount)() = nullptr; /**< Allocations of the program so far; not counted if null. */
 };
 
 /** Processor time of one kind of work. */
@@ -23,17 +26,24 @@
 {
     std::uint64_t calls = 0;
     double seconds = 0.0;
+    std::uint64_t allocations = 0;
 };
 
 /** Result of one measurement. */
 struct run_report
 {
     std::uint64_t acceptedJobs = 0;
+    std::uint64_t refusedJobs = 0;
+    std::uint64_t completedJobs = 0;
+    std::uint64_t lateJobs = 0; /**< Completed later than their objective. */
+    std::uint64_t unfinishedJobs = 0; /**< Accepted and not completed at the end, without long-running ones. */
     std::uint64_t startedTasks = 0;
     std::uint64_t polls = 0;
     std::uint64_t batches = 0;
     std::uint64_t journalBytes = 0;
     std::vector<duration> startDelays; /**< From acceptance to the first start order of each job. */
+    scheduler_counters afterSetUp; /**< Of the scheduler, once the long-running tasks have been placed. */
+    scheduler_counters counters; /**< Of the scheduler, at the end. */
     work_cost submit, decide, batch, takePolls, pollResponse, startResponse, actions;
 };
 
@@ -49,7 +59,11 @@
     void setUp();
     void submitJobs(time_point now);
     void submitJob(const std::string &queue, bool isLongRunning, time_point now);
+    void advance(time_point now);
     void carryOutActions(time_point now);
+    void start(const start_order &order, time_point now);
+    void handleResponse(const call_response &response, time_point now);
+    void handleFinish(const std::string &job, time_point now);
     void exchangeBatches(time_point now);
     double arrivalRate(int queue, time_point now) const;
     wall_time wall(time_point now) const;
@@ -62,6 +76,8 @@
     std::mt19937_64 m_random;
     time_point m_start{std::chrono::seconds{100}};
     std::vector<double> m_dueJobs; /**< Fraction of a job that is due, by queue. */
+    std::unordered_map<call_token, std::string> m_calls; /**< Submitted jobs that were not responded to yet. */
+    std::unordered_map<std::string, time_point> m_unfinishedJobs; /**< Accepted jobs, with the time of their acceptance. */
     std::unordered_map<std::string, time_point> m_waitingJobs; /**< Accepted jobs without a start order, with the time of acceptance. */
     struct start_delivery
     {
