--- a/src/scheduler/pool_planner.cpp
+++ b/src/scheduler/pool_planner.cpp
@@ -29,8 +29,11 @@
     }
     auto pools = surveyPools(hosts, isReserved, now);
 
+    const auto share = static_cast<std::size_t>(m_settings.maximumMovingShare * static_cast<double>(hosts.size()));
+    const std::size_t maximumMoves = std::max(m_settings.alwaysPermittedMoves, share);
+
     // Assign one host at a time to the pool with the largest relative shortage.
-    while (m_moves.size() < m_settings.maximumMovingHosts) {
+    while (m_moves.size() < maximumMoves) {
         const auto shortage = [](const pool_state &pool) {
             return pool.isStandby || pool.wanted <= pool.hosts ? 0.0 : static_cast<double>(pool.wanted - pool.hosts) / pool.wanted;
         };
--- a/src/scheduler/pool_planner.h
+++ b/src/scheduler/pool_planner.h
@@ -20,7 +20,8 @@
     duration backlogTime = std::chrono::milliseconds{1500}; /**< Time in which a pool should process its backlog. */
     duration moveTimeout = std::chrono::seconds{6}; /**< A move that the host list does not show after this time is treated as failed. */
     duration minimumStay = std::chrono::milliseconds{2500}; /**< Minimum time that a host stays in a pool after its move. */
-    std::size_t maximumMovingHosts = 100; /**< At a time. A moving host serves nobody, and each move costs the leader several exchanges. */
+    double maximumMovingShare = 0.3; /**< Of all hosts, at a time. A moving host serves nobody, and a wrong forecast has to leave most of the fleet in place. */
+    std::size_t alwaysPermittedMoves = 100; /**< At a time, whatever their share, so that a small fleet can move all its spare hosts. */
     int minimumHosts = 2; /**< Lower bound for the hosts of a pool that is not a standby pool. */
 };
 
--- a/tests/scheduler/pool_planner_test.cpp
+++ b/tests/scheduler/pool_planner_test.cpp
@@ -144,6 +144,27 @@
     CHECK(moving <= 100);
 }
 
+// Pattern: queues of a fleet of 1,100 hosts that burst by turns to a multiple of what their pool holds. Guards against a bound on moves that does not grow
+// with the fleet: the hosts then arrive one tenth after the other, while thousands of tasks wait beside idle hosts of another pool until they are late.
+TEST_CASE("the number of hosts that may move at a time follows the size of the fleet", "[pools]")
+{
+    pool_fixture fixture;
+    for (int number = 0; number < 1'100; ++number) {
+        const std::string name = "spare" + std::to_string(number);
+        fixture.hosts[name] = hostOf(name, "spare", "");
+    }
+    fixture.cluster.settle(4s);
+    for (int number = 0; number < 400; ++number) {
+        fixture.cluster.submit("job" + std::to_string(number), {batchStep(8, 4'000, 5'000)});
+    }
+    fixture.cluster.settle();
+    fixture.plan();
+    const auto moving = std::count_if(fixture.hosts.begin(), fixture.hosts.end(), [&](const auto &host) { return fixture.planner.isMoving(host.first); });
+    const auto fleet = static_cast<std::ptrdiff_t>(fixture.hosts.size());
+    CHECK(moving > fleet / 4);
+    CHECK(moving < fleet / 3); // a wrong forecast leaves two thirds in place
+}
+
 // Guards against a wave of moves after a hand-over: the successor had not seen the arrivals of any queue yet and took the hosts of pools that only
 // looked idle (303 hosts in two seconds on scale-1 of hvd-ops-grown).
 TEST_CASE("a new leader takes hosts from another pool only once it knows the demand of that pool", "[pools]")
