--- a/src/control/leader_task.cpp
+++ b/src/control/leader_task.cpp
@@ -360,6 +360,7 @@
     if (!hasLeadershipLease()) {
         order_response notSent;
         notSent.result = order_result::not_sent;
+        notSent.reason = "the leadership lease has expired";
         m_scheduler->handleStartResponse(order, notSent, sentAt, sentAt);
         return;
     }
--- a/src/control/load_reporter.cpp
+++ b/src/control/load_reporter.cpp
@@ -19,6 +19,9 @@
 {
     std::string text = " accepted=" + std::to_string(current.acceptedJobs - last.acceptedJobs)
         + " refused=" + std::to_string(current.refusedJobs - last.refusedJobs) + " starts=" + std::to_string(current.starts - last.starts);
+    if (current.undeliveredStarts > last.undeliveredStarts) {
+        text += " undelivered=" + std::to_string(current.undeliveredStarts - last.undeliveredStarts);
+    }
     for (std::size_t end = 0; end < runEndNames.size(); ++end) {
         const std::uint64_t count = current.ends.at(end) - last.ends.at(end);
         if (count > 0) {
@@ -131,6 +134,7 @@
     for (const auto &[service, values] : counters.services) {
         runs.samples.push_back({{{"service", service}, {"event", "start"}}, toCounter(values.starts)});
         runs.samples.push_back({{{"service", service}, {"event", "lost"}}, toCounter(values.lostRuns)});
+        runs.samples.push_back({{{"service", service}, {"event", "undelivered"}}, toCounter(values.undeliveredStarts)});
         for (std::size_t end = 0; end < runEndNames.size(); ++end) {
             runs.samples.push_back({{{"service", service}, {"event", std::string(runEndNames.at(end))}}, toCounter(endsOf(values, static_cast<run_end>(end)))});
         }
--- a/src/scheduler/executor_orders.h
+++ b/src/scheduler/executor_orders.h
@@ -89,6 +89,7 @@
 {
     order_result result = order_result::unanswered;
     std::int64_t clockMilliseconds = 0; /**< The executor's steady clock, in milliseconds; 0 if unknown. */
+    std::string reason{}; /**< Why the order was not sent, or why there is no response; empty otherwise. */
 };
 
 /** A run that the executor reports as running. */
--- a/src/scheduler/executor_state.h
+++ b/src/scheduler/executor_state.h
@@ -38,6 +38,7 @@
     time_point bootKnownAt{}; /**< When the leader first learned of this boot. */
     bool isListed = false; /**< The registry has an entry for the executor. */
     bool isEvacuating = false; /**< Gets no new work, because its host is to be maintained or moved to another pool. */
+    bool isHostUp = true; /**< False once the host list has shown its host with another executor, or not up. */
     bool isSynchronised = false; /**< Has responded to a poll of this leader and therefore rejects orders of earlier leaders. */
     time_point clockReadAt{}; /**< Local time at which the executor clock was known to have reached clockMilliseconds. */
     std::int64_t clockMilliseconds = 0; /**< Last known reading of the executor's steady clock; 0 if unknown. */
@@ -55,6 +56,7 @@
     bool isPolling = false; /**< A poll is in flight. */
     bool isPollGrantingLease = false; /**< The poll in flight, or the last one, extends the lease. */
     time_point lastPollResponseAt{};
+    time_point lastContactAt{}; /**< When the executor last responded to a poll or a start order. */
     time_point nextPoll{};
     time_point nextCheck{}; /**< Next check of leases, stalled runs and orders to repeat. */
     int failedPolls = 0; /**< Consecutive polls that failed; 0 while the executor is reachable. */
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -119,6 +119,9 @@
         and no step exceeds its permitted number of unavailable tasks. */
     void setEvacuating(const std::string &executor, bool isEvacuating);
 
+    /** Reports what the host list shows of the executor's host. A new boot counts as up until the next list. */
+    void setHostUp(const std::string &executor, bool isUp);
+
     /** Whether the executor certainly has no runs. */
     bool isEmpty(const std::string &executor) const;
 
--- a/src/scheduler/scheduler_counters.h
+++ b/src/scheduler/scheduler_counters.h
@@ -16,6 +16,7 @@
     std::uint64_t acceptedJobs = 0;
     std::uint64_t refusedJobs = 0;
     std::uint64_t starts = 0; /**< Start orders, repeated ones included. */
+    std::uint64_t undeliveredStarts = 0; /**< Start orders that were not sent, for instance because the executor refused the connection. */
     std::array<std::uint64_t, runEndNames.size()> ends{}; /**< Indexed by run_end. */
     std::uint64_t lostRuns = 0; /**< Given up because their executor was lost. */
     std::uint64_t startedJobs = 0; /**< Jobs that have got their first start order. */
--- a/src/scheduler/scheduler_evacuation.cpp
+++ b/src/scheduler/scheduler_evacuation.cpp
@@ -21,6 +21,17 @@
     }
 }
 
+void scheduler::setHostUp(const std::string &executor, bool isUp)
+{
+    const auto found = m_executors.find(executor);
+    if (found == m_executors.end() || found->second.isHostUp == isUp) {
+        return;
+    }
+    found->second.isHostUp = isUp;
+    addDecision(isUp ? "host-up" : "host-not-up", {}, {}, executor, "runs=" + std::to_string(found->second.runs.size()));
+    touch(found->second);
+}
+
 bool scheduler::isEmpty(const std::string &executor) const
 {
     const executor_state *state = findExecutor(executor);
--- a/src/scheduler/scheduler_executors.cpp
+++ b/src/scheduler/scheduler_executors.cpp
@@ -47,6 +47,7 @@
     executor.bootSeenAt = time_point{};
     forgetEnds(executor);
     executor.clockMilliseconds = 0;
+    executor.isHostUp = true;
     executor.isSynchronised = false;
     executor.failedPolls = 0;
     executor.consecutiveFailures = 0;
@@ -97,8 +98,11 @@
 {
     const auto found = m_executors.find(id);
     if (found != m_executors.end()) {
-        found->second.isListed = false;
-        touch(found->second);
+        executor_state &executor = found->second;
+        const auto contactAge = std::chrono::duration_cast<std::chrono::milliseconds>(m_now - executor.lastContactAt);
+        addDecision("executor-removed", {}, {}, id, "runs=" + std::to_string(executor.runs.size()) + " contact-ms=" + std::to_string(contactAge.count()));
+        executor.isListed = false;
+        touch(executor);
     }
 }
 
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -9,9 +9,13 @@
 // A response that arrives out of order reports a clock that is behind by less than this, in milliseconds. A larger step back means a new boot.
 constexpr std::int64_t clockSlack = 3000;
 
-std::string describeOrder(const std::string &result, int run)
+/** Describes a rejection and what was known of the executor, with its age. */
+std::string describeRejection(const start_order &order, const order_response &response, const executor_state &executor, time_point now)
 {
-    return "run=" + std::to_string(run) + " result=" + result;
+    const auto contactAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - executor.lastContactAt);
+    return "run=" + std::to_string(order.run) + " result=" + std::string(name(response.result)) + " contact-ms=" + std::to_string(contactAge.count())
+        + " runs=" + std::to_string(executor.runs.size()) + " host-up=" + std::to_string(executor.isHostUp ? 1 : 0)
+        + (response.reason.empty() ? "" : " reason=\"" + response.reason + '"');
 }
 
 } // namespace
@@ -115,6 +119,9 @@
         executor.nextPoll = now;
         assumeLongestLease(executor, now);
     }
+    if (response.result != order_result::not_sent && response.result != order_result::unanswered) {
+        executor.lastContactAt = now;
+    }
     if (response.result != order_result::not_sent) {
         noteGrant(executor, response.result != order_result::unanswered, sentAt, now);
     }
@@ -148,7 +155,10 @@
         return;
     }
 
-    addDecision("start-rejected", order.task.job, toText(order.task), executor.description.id, describeOrder(std::string(name(response.result)), order.run));
+    if (response.result == order_result::not_sent) {
+        ++countersOf(*findMutableJob(order.task.job)).undeliveredStarts;
+    }
+    addDecision("start-rejected", order.task.job, toText(order.task), executor.description.id, describeRejection(order, response, executor, now));
     handleRejectedStart(order, *run, response, now);
 }
 
--- a/src/scheduler/scheduler_polls.cpp
+++ b/src/scheduler/scheduler_polls.cpp
@@ -121,6 +121,7 @@
     }
     executor.failedPolls = 0;
     executor.lastPollResponseAt = now;
+    executor.lastContactAt = now;
     if (response.boot > executor.description.boot) {
         handleNewBoot(executor, response.boot, now);
     }
--- a/src/scheduler/wave_manager.cpp
+++ b/src/scheduler/wave_manager.cpp
@@ -35,12 +35,27 @@
 
 void wave_manager::setHosts(std::vector<host_description> hosts, time_point requestedAt)
 {
-    m_hosts.clear();
+    const std::map<std::string, host_description> earlier = std::exchange(m_hosts, {});
     for (host_description &host : hosts) {
         std::string name = host.name;
         m_hosts[std::move(name)] = std::move(host);
     }
     m_hostsRequestedAt = requestedAt;
+    reportHostStates(earlier);
+}
+
+/** Tells the scheduler which executors have lost their host since the earlier list, and which hosts are up. */
+void wave_manager::reportHostStates(const std::map<std::string, host_description> &earlier)
+{
+    for (const auto &[name, before] : earlier) {
+        const host_description *host = findHost(name);
+        if (host == nullptr || host->executor != before.executor) {
+            m_scheduler.setHostUp(before.executor, false);
+        }
+    }
+    for (const auto &[name, host] : m_hosts) {
+        m_scheduler.setHostUp(host.executor, host.state == host_state::up);
+    }
 }
 
 bool wave_manager::needsHost(const std::string &host) const
--- a/src/scheduler/wave_manager.h
+++ b/src/scheduler/wave_manager.h
@@ -106,6 +106,7 @@
         std::int64_t millicores = 0; /**< Capacity of the known executors of the pool. */
     };
 
+    void reportHostStates(const std::map<std::string, host_description> &earlier);
     const host_description *findHost(const std::string &host) const;
     void advanceHosts(time_point now);
     void chooseHosts(wave_state &wave, const std::function<bool(const std::string &)> &isMoving, time_point now);
