--- a/src/scheduler/executor_state.h
+++ b/src/scheduler/executor_state.h
@@ -75,7 +75,7 @@
     /** Whether new runs may be placed on the executor. */
     bool isSchedulable(time_point now) const
     {
-        return isListed && isSynchronised && !isEvacuating && !description.draining && failedPolls == 0 && now >= avoidUntil;
+        return isListed && isHostUp && isSynchronised && !isEvacuating && !description.draining && failedPolls == 0 && now >= avoidUntil;
     }
 };
 
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -119,7 +119,8 @@
         and no step exceeds its permitted number of unavailable tasks. */
     void setEvacuating(const std::string &executor, bool isEvacuating);
 
-    /** Reports what the host list shows of the executor's host. A new boot counts as up until the next list. */
+    /** Reports what the host list shows of the executor's host. An executor whose host is not up, or has another executor, gets no new work; a new boot
+        counts as up until the next list. */
     void setHostUp(const std::string &executor, bool isUp);
 
     /** Whether the executor certainly has no runs. */
