--- a/src/scheduler/scheduler_polls.cpp
+++ b/src/scheduler/scheduler_polls.cpp
@@ -59,7 +59,8 @@
 bool scheduler::needsPoll(const executor_state &executor)
 {
     const bool hasUnacknowledged = executor.endRecorded > executor.endAcknowledged;
-    const bool isNeeded = !executor.isSynchronised || !executor.runs.empty() || hasUnacknowledged;
+    const bool isSilent = executor.isListed && executor.isHostUp && executor.failedPolls > 0; // it gets work again once it responds
+    const bool isNeeded = !executor.isSynchronised || !executor.runs.empty() || hasUnacknowledged || isSilent;
     return isNeeded && !executor.isPolling && !executor.description.address.empty();
 }
 
@@ -112,7 +113,7 @@
         if (executor.failedPolls++ == 0) {
             addDecision("executor-lost", {}, {}, id, "result=" + std::string(name(response.result)) + " runs=" + std::to_string(executor.runs.size()));
         }
-        executor.nextPoll = now + m_settings.pollRetryDelay;
+        executor.nextPoll = now + (executor.runs.empty() ? m_settings.idlePollRetryDelay : m_settings.pollRetryDelay);
         return;
     }
 
--- a/src/scheduler/scheduler_settings.h
+++ b/src/scheduler/scheduler_settings.h
@@ -11,6 +11,7 @@
     duration maximumLease = std::chrono::seconds{10}; /**< Executors shorten every longer lease to this. */
     duration pollWait = std::chrono::milliseconds{800}; /**< Long poll: how long an executor may delay its response. Less than a third of the lease. */
     duration pollRetryDelay = std::chrono::milliseconds{300}; /**< Delay after a failed poll. */
+    duration idlePollRetryDelay = std::chrono::seconds{1}; /**< The same for an executor without runs, whose silence endangers no task. */
     duration pollSpacing = std::chrono::milliseconds{30}; /**< Minimum time from a response to the next poll, so that one poll reports several ends. */
     duration pollSpacingPerExecutor = std::chrono::microseconds{60}; /**< Added to it for each executor, so that the rate of polls of the fleet is bounded. */
     duration checkInterval = std::chrono::milliseconds{25}; /**< Between two checks of an executor with orders to repeat or runs to evacuate. */
