--- a/src/external/http_requester.cpp
+++ b/src/external/http_requester.cpp
@@ -1,6 +1,7 @@
 #include "external/http_requester.h"
 
 #include "external/delayed_calls.h"
+#include "runtime/bulk_transfer.h"
 #include "runtime/pending_input.h"
 
 #include <algorithm>
@@ -224,6 +225,7 @@
 
         evhttp_connection_set_max_headers_size(item->handle.get(), static_cast<ev_ssize_t>(settings.maximumHeaderBytes));
         evhttp_connection_set_max_body_size(item->handle.get(), static_cast<ev_ssize_t>(settings.maximumBodyBytes));
+        allowBulkTransfer(evhttp_connection_get_bufferevent(item->handle.get()));
         connection &opened = *item;
         opened.position = connections.insert(connections.end(), std::move(item));
         return &opened;
--- a/src/transport/peer_session.cpp
+++ b/src/transport/peer_session.cpp
@@ -1,6 +1,7 @@
 #include "transport/peer_session.h"
 
 #include "core/digest.h"
+#include "runtime/bulk_transfer.h"
 #include "transport/socket_address.h"
 
 #include <arpa/inet.h>
@@ -89,6 +90,7 @@
         self->close((events & BEV_EVENT_EOF) != 0 ? "the peer closed the connection" : "the connection failed");
     };
     bufferevent_setcb(m_buffer, onRead, nullptr, onEvent, this);
+    allowBulkTransfer(m_buffer);
     bufferevent_enable(m_buffer, EV_READ | EV_WRITE);
 
     m_handshakeTimeout = m_loop.after(m_settings.handshakeTimeout, [this] { close("the handshake timed out"); });
