--- a/src/external/http_log_client.cpp
+++ b/src/external/http_log_client.cpp
@@ -69,7 +69,7 @@
 append_result parseAppendResult(const http_result &response)
 {
     append_result result;
-    if (response.delivery == http_delivery::not_sent) {
+    if (isUnsent(response.delivery)) {
         result.status = append_status::refused;
         result.reason = response.reason;
         return result;
--- a/src/external/http_requester.cpp
+++ b/src/external/http_requester.cpp
@@ -281,7 +281,7 @@
 
         // evhttp passes a request without a response code only when the connection could not be opened; after later failures it passes no request.
         if (evhttp_request_get_response_code(request) == 0) {
-            item->owner->finishRequest(*item, failedResult(http_delivery::not_sent, "the connection was refused"), false);
+            item->owner->finishRequest(*item, failedResult(http_delivery::unreachable, "the connection was refused"), false);
             return;
         }
 
@@ -340,7 +340,7 @@
         evbuffer_add(evhttp_request_get_output_buffer(outgoing), request.body.data(), request.body.size());
 
         if (evhttp_make_request(item.handle.get(), outgoing, method, request.target.c_str()) != 0) {
-            finishRequest(item, failedResult(http_delivery::not_sent, "no connection could be opened"), false);
+            finishRequest(item, failedResult(http_delivery::unreachable, "no connection could be opened"), false);
         }
     }
 
--- a/src/external/http_result.h
+++ b/src/external/http_result.h
@@ -10,10 +10,17 @@
 /** Whether a request was sent and its response received. */
 enum class http_delivery {
     responded, /**< The complete response was received. */
-    not_sent, /**< No byte of the request was written, for instance because no connection could be opened. */
+    not_sent, /**< No byte of the request was written, for a reason on this side: it is invalid, or there are too many connections. */
+    unreachable, /**< No byte of the request was written, because the server accepted no connection. */
     failed, /**< The request may have reached the server; no complete response was received. */
 };
 
+/** Whether the server certainly has not received any part of the request. */
+constexpr bool isUnsent(http_delivery delivery)
+{
+    return delivery == http_delivery::not_sent || delivery == http_delivery::unreachable;
+}
+
 /** Result of an outgoing HTTP request: the complete response, or the reason why there is none. @see http_requester */
 struct http_result
 {
--- a/src/scheduler/executor_orders.h
+++ b/src/scheduler/executor_orders.h
@@ -71,19 +71,26 @@
     unhealthy, /**< Rejected without effect, because the executor is unhealthy. */
     other_boot, /**< Another executor, or another boot, responds at the address. */
     invalid, /**< The executor rejected the order as invalid. */
-    not_sent, /**< The order was not sent: no connection could be opened, or the leadership lease had expired. */
+    not_sent, /**< The order was not sent for a reason of the sender: the leadership lease had expired, or there were too many connections. */
+    unreachable, /**< The order was not sent: the executor accepted no connection, or has not answered an earlier order. */
     unanswered, /**< No response. The order may have been carried out, or may still be. */
 };
 
 /** Names of the results, indexed by enum value. */
-constexpr std::array<std::string_view, 11> orderResultNames{"done",      "fenced",     "superseded", "late",     "no-room",   "no-ticket",
-                                                            "unhealthy", "other-boot", "invalid",    "not-sent", "unanswered"};
+constexpr std::array<std::string_view, 12> orderResultNames{"done",      "fenced",     "superseded", "late",     "no-room",     "no-ticket",
+                                                            "unhealthy", "other-boot", "invalid",    "not-sent", "unreachable", "unanswered"};
 
 constexpr std::string_view name(order_result result)
 {
     return orderResultNames.at(static_cast<std::size_t>(result));
 }
 
+/** Whether the executor certainly has not received the order. */
+constexpr bool isUnsent(order_result result)
+{
+    return result == order_result::not_sent || result == order_result::unreachable;
+}
+
 /** Response to a start, stop or pace order. */
 struct order_response
 {
--- a/src/scheduler/executor_state.h
+++ b/src/scheduler/executor_state.h
@@ -59,7 +59,7 @@
     time_point lastContactAt{}; /**< When the executor last responded to a poll or a start order. */
     time_point nextPoll{};
     time_point nextCheck{}; /**< Next check of leases, stalled runs and orders to repeat. */
-    int failedPolls = 0; /**< Consecutive polls that failed; 0 while the executor is reachable. */
+    int failedContacts = 0; /**< Polls without a response and start orders that could not be delivered since its last response to a poll. */
     time_point avoidUntil{}; /**< No new runs are placed here before this time. */
     int consecutiveFailures = 0; /**< Failed runs of different jobs since the last successful run. */
     std::string lastFailedJob;
@@ -75,7 +75,7 @@
     /** Whether new runs may be placed on the executor. */
     bool isSchedulable(time_point now) const
     {
-        return isListed && isHostUp && isSynchronised && !isEvacuating && !description.draining && failedPolls == 0 && now >= avoidUntil;
+        return isListed && isHostUp && isSynchronised && !isEvacuating && !description.draining && failedContacts == 0 && now >= avoidUntil;
     }
 };
 
--- a/src/scheduler/pool_planner.cpp
+++ b/src/scheduler/pool_planner.cpp
@@ -125,7 +125,7 @@
             continue;
         }
         const executor_state *executor = m_scheduler.findExecutor(host.executor);
-        if (executor == nullptr || executor->description.draining || !executor->isListed || executor->failedPolls > 0) {
+        if (executor == nullptr || executor->description.draining || !executor->isListed || executor->failedContacts > 0) {
             continue;
         }
         ++pool.hosts;
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -254,6 +254,7 @@
     bool mayStillStart(const scheduled_run &run, time_point now) const;
     bool isGone(const executor_state &executor) const;
     void repeatOrders(executor_state &executor, time_point now);
+    void noteFailedContact(executor_state &executor, order_result result, time_point now);
     void reconcile(executor_state &executor, const poll_response &response, time_point sentAt, time_point now);
     void reconcileMissing(executor_state &executor, const run_key &key, scheduled_run &run, time_point sentAt, time_point now);
     void reconcileRunning(executor_state &executor, const running_entry &entry, time_point sentAt, time_point now);
--- a/src/scheduler/scheduler_evacuation.cpp
+++ b/src/scheduler/scheduler_evacuation.cpp
@@ -69,7 +69,7 @@
 {
     return std::any_of(task.runs.begin(), task.runs.end(), [this](const scheduled_run &run) {
         const executor_state *executor = findExecutor(run.executor);
-        return run.phase == run_phase::running && run.progress >= startUpComplete && executor != nullptr && executor->failedPolls == 0;
+        return run.phase == run_phase::running && run.progress >= startUpComplete && executor != nullptr && executor->failedContacts == 0;
     });
 }
 
--- a/src/scheduler/scheduler_executors.cpp
+++ b/src/scheduler/scheduler_executors.cpp
@@ -49,7 +49,7 @@
     executor.clockMilliseconds = 0;
     executor.isHostUp = true;
     executor.isSynchronised = false;
-    executor.failedPolls = 0;
+    executor.failedContacts = 0;
     executor.consecutiveFailures = 0;
     executor.nextPoll = now;
     executor.nextCheck = now;
@@ -203,7 +203,7 @@
 void scheduler::recordLeasesOfLostExecutors()
 {
     for (const auto &[id, executor] : m_executors) {
-        if (!executor.runs.empty() && (executor.failedPolls > 0 || !executor.isSynchronised)) {
+        if (!executor.runs.empty() && (executor.failedContacts > 0 || !executor.isSynchronised)) {
             m_leaseRecords[id] = {executor.leaseExpiry, true};
             m_changedLeaseRecords.insert(id);
         }
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -119,14 +119,18 @@
         executor.nextPoll = now;
         assumeLongestLease(executor, now);
     }
-    if (response.result != order_result::not_sent && response.result != order_result::unanswered) {
+    if (!isUnsent(response.result) && response.result != order_result::unanswered) {
         executor.lastContactAt = now;
     }
-    if (response.result != order_result::not_sent) {
+    if (!isUnsent(response.result)) {
         noteGrant(executor, response.result != order_result::unanswered, sentAt, now);
     }
     if (sentAt >= executor.bootKnownAt) {
         updateClock(executor, response.clockMilliseconds, now);
+        if (response.result == order_result::unreachable) {
+            noteFailedContact(executor, response.result, now);
+            executor.nextPoll = now;
+        }
     }
 
     const run_key key{order.task, order.run};
@@ -155,7 +159,7 @@
         return;
     }
 
-    if (response.result == order_result::not_sent) {
+    if (isUnsent(response.result)) {
         ++countersOf(*findMutableJob(order.task.job)).undeliveredStarts;
     }
     addDecision("start-rejected", order.task.job, toText(order.task), executor.description.id, describeRejection(order, response, executor, now));
@@ -184,6 +188,7 @@
         executor.nextPoll = std::min(executor.nextPoll, now);
         return;
     case order_result::not_sent:
+    case order_result::unreachable:
         if (run.phase == run_phase::stopping || run.phase == run_phase::stopped) {
             return;
         }
@@ -273,9 +278,9 @@
             continue;
         }
         const bool isDue = now - run->phaseStartedAt >= m_settings.orderRetryDelay;
-        if (run->phase == run_phase::stopping && (isDue || run->phaseStartedAt == now || executor.failedPolls == 0)) {
+        if (run->phase == run_phase::stopping && (isDue || run->phaseStartedAt == now || executor.failedContacts == 0)) {
             sendStop(key, *run, now);
-        } else if (run->phase == run_phase::unanswered && isDue && executor.failedPolls == 0) {
+        } else if (run->phase == run_phase::unanswered && isDue && executor.failedContacts == 0) {
             sendStart(key, *run, now);
             return; // sendStart() may have changed executor.runs; the next decision handles the others
         }
@@ -288,7 +293,7 @@
     for (const run_key &key : executor.runs) {
         scheduled_run *run = findRun(key);
         const bool isLongRunning = findMutableJob(key.task.job)->work.steps[static_cast<std::size_t>(key.task.step)].longRunning;
-        if (run == nullptr || isLongRunning || run->phase != run_phase::running || executor.failedPolls > 0) {
+        if (run == nullptr || isLongRunning || run->phase != run_phase::running || executor.failedContacts > 0) {
             continue;
         }
         const time_point lastProgress = std::max(run->progressAt, run->startedAt);
--- a/src/scheduler/scheduler_polls.cpp
+++ b/src/scheduler/scheduler_polls.cpp
@@ -40,11 +40,11 @@
     poll_order order;
     order.target = targetOf(executor);
     order.acknowledgedUpTo = hasUnacknowledged ? executor.endRecorded : 0; // a boot that is not known yet would take the number as one of its own
-    if (!executor.runs.empty() && executor.failedPolls == 0 && executor.clockMilliseconds > 0) {
+    if (!executor.runs.empty() && executor.failedContacts == 0 && executor.clockMilliseconds > 0) {
         order.leaseEnd = grantLease(executor, now);
     }
     const bool hasUnrecorded = executor.endApplied > executor.endRecorded;
-    if (executor.isSynchronised && executor.failedPolls == 0 && !executor.runs.empty() && !hasUnrecorded && !needsPromptList(executor)) {
+    if (executor.isSynchronised && executor.failedContacts == 0 && !executor.runs.empty() && !hasUnrecorded && !needsPromptList(executor)) {
         order.wait = m_settings.pollWait;
     }
     ++m_counters.pollOrders;
@@ -59,7 +59,7 @@
 bool scheduler::needsPoll(const executor_state &executor)
 {
     const bool hasUnacknowledged = executor.endRecorded > executor.endAcknowledged;
-    const bool isSilent = executor.isListed && executor.isHostUp && executor.failedPolls > 0; // it gets work again once it responds
+    const bool isSilent = executor.isListed && executor.isHostUp && executor.failedContacts > 0; // it gets work again once it responds
     const bool isNeeded = !executor.isSynchronised || !executor.runs.empty() || hasUnacknowledged || isSilent;
     return isNeeded && !executor.isPolling && !executor.description.address.empty();
 }
@@ -110,17 +110,15 @@
         return;
     }
     if (response.result != order_result::done) {
-        if (executor.failedPolls++ == 0) {
-            addDecision("executor-lost", {}, {}, id, "result=" + std::string(name(response.result)) + " runs=" + std::to_string(executor.runs.size()));
-        }
+        noteFailedContact(executor, response.result, now);
         executor.nextPoll = now + (executor.runs.empty() ? m_settings.idlePollRetryDelay : m_settings.pollRetryDelay);
         return;
     }
 
-    if (executor.failedPolls > 0) {
-        addDecision("executor-back", {}, {}, id, "failed=" + std::to_string(executor.failedPolls));
+    if (executor.failedContacts > 0) {
+        addDecision("executor-back", {}, {}, id, "failed=" + std::to_string(executor.failedContacts));
     }
-    executor.failedPolls = 0;
+    executor.failedContacts = 0;
     executor.lastPollResponseAt = now;
     executor.lastContactAt = now;
     if (response.boot > executor.description.boot) {
@@ -139,6 +137,17 @@
     paceFillers(executor, now);
 }
 
+/** Takes note of a poll without a response, or of an order that could not be delivered. The executor gets no new work until it responds to a poll. */
+void scheduler::noteFailedContact(executor_state &executor, order_result result, time_point now)
+{
+    if (executor.failedContacts++ > 0) {
+        return;
+    }
+    const auto contactAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - executor.lastContactAt);
+    addDecision("executor-lost", {}, {}, executor.description.id,
+                "result=" + std::string(name(result)) + " runs=" + std::to_string(executor.runs.size()) + " contact-ms=" + std::to_string(contactAge.count()));
+}
+
 void scheduler::reconcile(executor_state &executor, const poll_response &response, time_point sentAt, time_point now)
 {
     for (const finished_entry &entry : response.finished) {
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -58,6 +58,7 @@
         {makeResponse(500, ""), order_result::unanswered},
         {makeMissingResponse(http_delivery::failed), order_result::unanswered},
         {makeMissingResponse(http_delivery::not_sent), order_result::not_sent},
+        {makeMissingResponse(http_delivery::unreachable), order_result::unreachable},
     };
     for (const row &row : rows) {
         CHECK(toOrderResponse(row.response).result == row.expected);
--- a/tests/scheduler/scheduling_property_test.cpp
+++ b/tests/scheduler/scheduling_property_test.cpp
@@ -117,6 +117,27 @@
     checkSeeds(faults);
 }
 
+// Guards against a run that is given up although an order may have started it, and against executors that stay out of use: connections to executors that
+// are down are refused at times, beside changes of leader.
+TEST_CASE("no task runs twice and none is lost when executors that are down refuse connections", "[scheduler]")
+{
+    simulated_faults faults;
+    faults.lostResponse = 0.03;
+    faults.crashInterval = std::chrono::seconds{2};
+    faults.cutInterval = std::chrono::seconds{4};
+    faults.refusedConnection = 0.7;
+    SECTION("under one leader")
+    {
+        checkSeeds(faults);
+    }
+    SECTION("under changing leaders")
+    {
+        faults.takeoverInterval = std::chrono::seconds{4};
+        faults.predecessorContinues = true;
+        checkSeeds(faults);
+    }
+}
+
 // Guards against beliefs about an earlier boot: the executors are back before the registry shows it, so that orders meant for the earlier boot reach the
 // next one, beside changes of leader.
 TEST_CASE("no task runs twice and none is lost when executors restart before the registry shows it", "[scheduler]")
--- a/tests/scheduler/scheduling_simulation.cpp
+++ b/tests/scheduler/scheduling_simulation.cpp
@@ -332,13 +332,17 @@
         return;
     }
     const duration late = std::chrono::milliseconds{2000 + static_cast<std::int64_t>(m_random() % 10'000)};
-    after(isLate ? late : messageDelay, [this, execute, done, isResponseLost] {
+    after(isLate ? late : messageDelay, [this, execute, done, isResponseLost, executor = order.target.executor] {
         const auto response = execute();
         if (isResponseLost) {
             return;
         }
         if (!response) {
-            after(responseTimeout, [done] { done(Response{}); });
+            Response missing;
+            const bool isDown = m_executors.contains(executor) && !m_executors.at(executor)->isUp();
+            const bool isRefused = isDown && m_faults.refusedConnection > 0.0 && isDrawn(m_faults.refusedConnection);
+            missing.result = isRefused ? order_result::unreachable : order_result::unanswered;
+            after(isRefused ? messageDelay : responseTimeout, [done, missing] { done(missing); });
         } else {
             after(messageDelay, [done, result = *response] { done(result); });
         }
--- a/tests/scheduler/scheduling_simulation.h
+++ b/tests/scheduler/scheduling_simulation.h
@@ -28,6 +28,7 @@
     duration registryInterval{}; /**< Between two readings of the registry; zero to read it in every step. */
     duration takeoverInterval{}; /**< Mean time between changes of leader; zero for none. */
     bool predecessorContinues = false; /**< A deposed leader continues until its leadership lease expires. */
+    double refusedConnection = 0.0; /**< A message to an executor that is down is known not to have been sent; otherwise it gets no response. */
     double failedRun = 0.0; /**< A run fails. */
     bool mayRefuse = false; /**< The faults may leave too few executors for a submission, which is then refused and retried. */
     duration configurationDelay{}; /**< A new leader gets the configuration up to this much later. */
