--- a/src/external/http_requester.cpp
+++ b/src/external/http_requester.cpp
@@ -129,6 +129,7 @@
         std::list<std::unique_ptr<connection>>::iterator position; /**< In the list of all connections. */
         std::list<connection *>::iterator idlePosition; /**< In the list of idle connections; valid while isIdle. */
         bool isIdle = false;
+        bool hasWritten = false; /**< Bytes of the request in flight were passed to the socket. */
     };
 
     state(event_loop &eventLoop, http_requester_settings values)
@@ -227,10 +228,17 @@
         evhttp_connection_set_max_body_size(item->handle.get(), static_cast<ev_ssize_t>(settings.maximumBodyBytes));
         allowBulkTransfer(evhttp_connection_get_bufferevent(item->handle.get()));
         connection &opened = *item;
+        evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(opened.handle.get())), onOutputChange, &opened);
         opened.position = connections.insert(connections.end(), std::move(item));
         return &opened;
     }
 
+    static void onOutputChange(evbuffer *, const evbuffer_cb_info *info, void *argument)
+    {
+        auto *item = static_cast<connection *>(argument);
+        item->hasWritten = item->hasWritten || info->n_deleted > 0;
+    }
+
     void completeLater(std::function<void(http_result)> done, http_result result)
     {
         calls.after(duration::zero(), [done = std::move(done), result = std::move(result)]() mutable { done(std::move(result)); });
@@ -293,6 +301,12 @@
     {
         const std::size_t received = receivedBytes(item);
         const bool mayContinue = progressTimeout > duration::zero() && received > item.receivedAtLastCheck && loop.now() - item.startedAt < maximumDuration;
+        if (!mayContinue && !item.hasWritten) {
+            // Cancelled at once, because the connection might still open before it is closed.
+            evhttp_cancel_request(std::exchange(item.request, nullptr));
+            finishRequest(item, failedResult(http_delivery::unreachable, "the connection was not accepted before the timeout"), false);
+            return;
+        }
         if (!mayContinue) {
             const std::string bytes = std::to_string(received);
             finishRequest(item, failedResult(http_delivery::failed, "no complete response before the timeout, " + bytes + " bytes received"), false);
@@ -310,6 +324,7 @@
         }
         item.done = std::move(done);
         item.reason.clear();
+        item.hasWritten = false;
         item.startedAt = loop.now();
         item.receivedAtLastCheck = 0;
         item.timeoutTimer = loop.after(request.timeout, [this, &item, progressTimeout = request.progressTimeout, maximumDuration = request.maximumDuration] {
--- a/src/external/http_result.h
+++ b/src/external/http_result.h
@@ -11,7 +11,7 @@
 enum class http_delivery {
     responded, /**< The complete response was received. */
     not_sent, /**< No byte of the request was written, for a reason on this side: it is invalid, or there are too many connections. */
-    unreachable, /**< No byte of the request was written, because the server accepted no connection. */
+    unreachable, /**< No byte of the request was written, because the server refused the connection or did not accept it before the timeout. */
     failed, /**< The request may have reached the server; no complete response was received. */
 };
 
--- a/tests/external/http_requester_test.cpp
+++ b/tests/external/http_requester_test.cpp
@@ -10,6 +10,8 @@
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
+#include <vector>
 
 using namespace parsleyglade;
 using namespace std::chrono_literals;
@@ -38,6 +40,9 @@
 
     ~manual_server()
     {
+        for (const int filler : m_fillers) {
+            ::close(filler);
+        }
         closeConnection();
         ::close(m_listener);
     }
@@ -82,8 +87,40 @@
         }
     }
 
+    /** Opens connections until the queue of new ones is full, so that the opening packets of further ones are dropped. */
+    void fillBacklog()
+    {
+        REQUIRE(::listen(m_listener, 0) == 0);
+        sockaddr_in address{};
+        socklen_t size = sizeof address;
+        ::getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
+        constexpr int moreThanTheQueueHolds = 4;
+        for (int number = 0; number < moreThanTheQueueHolds; ++number) {
+            m_fillers.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+            ::connect(m_fillers.back(), reinterpret_cast<sockaddr *>(&address), sizeof address);
+        }
+    }
+
+    /** Closes the connections of fillBacklog() and accepts what waits in the queue. */
+    void emptyBacklog()
+    {
+        for (const int filler : std::exchange(m_fillers, {})) {
+            ::close(filler);
+        }
+        while (hasConnectionWaiting()) {
+            ::close(::accept(m_listener, nullptr, nullptr));
+        }
+    }
+
+    bool hasConnectionWaiting() const
+    {
+        pollfd waiting{m_listener, POLLIN, 0};
+        return ::poll(&waiting, 1, 0) == 1;
+    }
+
 private:
     int m_listener;
+    std::vector<int> m_fillers;
     int m_connection = -1;
     std::string m_address;
 };
@@ -164,6 +201,22 @@
     CHECK(received < bodyBytes / 2);
 }
 
+// Guards against a task that waits for 12.5 s for a start order that was never written: the executor's host was gone, the connection was still being
+// opened at the timeout, and the order counted as one that may have been carried out (LOST).
+TEST_CASE("a request whose connection is not accepted before the timeout counts as not sent, and is never sent")
+{
+    requester_fixture fixture;
+    fixture.server.fillBacklog();
+    fixture.send(100ms);
+    fixture.run(200ms);
+    REQUIRE(fixture.result);
+    CHECK(fixture.result->delivery == http_delivery::unreachable);
+
+    fixture.server.emptyBacklog();
+    fixture.run(1'500ms); // the kernel repeats an opening packet after a second
+    CHECK_FALSE(fixture.server.hasConnectionWaiting());
+}
+
 // Guards against incident CONFIG: large responses over slow links were abandoned in the middle and requested again and again.
 TEST_CASE("a response that is still being received is not abandoned at the timeout")
 {
