--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -120,8 +120,8 @@
     void setEvacuating(const std::string &executor, bool isEvacuating);
 
     /** Reports what the host list shows of the executor's host. An executor whose host is not up, or has another executor, gets no new work; a new boot
-        counts as up until the next list. */
-    void setHostUp(const std::string &executor, bool isUp);
+        counts as up until a list that was requested after it was known. @param requestedAt when the list was requested */
+    void setHostUp(const std::string &executor, bool isUp, time_point requestedAt);
 
     /** Whether the executor certainly has no runs. */
     bool isEmpty(const std::string &executor) const;
--- a/src/scheduler/scheduler_evacuation.cpp
+++ b/src/scheduler/scheduler_evacuation.cpp
@@ -21,10 +21,10 @@
     }
 }
 
-void scheduler::setHostUp(const std::string &executor, bool isUp)
+void scheduler::setHostUp(const std::string &executor, bool isUp, time_point requestedAt)
 {
     const auto found = m_executors.find(executor);
-    if (found == m_executors.end() || found->second.isHostUp == isUp) {
+    if (found == m_executors.end() || found->second.isHostUp == isUp || requestedAt < found->second.bootKnownAt) {
         return;
     }
     found->second.isHostUp = isUp;
@@ -64,12 +64,12 @@
     }
 }
 
-/** Whether the task has completed its start-up on an executor that responds to polls. A task on an unresponsive executor may have died. */
+/** Whether the task has completed its start-up on an executor that responds to polls and whose host is up. On another one it may have died. */
 bool scheduler::isAvailable(const scheduled_task &task) const
 {
     return std::any_of(task.runs.begin(), task.runs.end(), [this](const scheduled_run &run) {
         const executor_state *executor = findExecutor(run.executor);
-        return run.phase == run_phase::running && run.progress >= startUpComplete && executor != nullptr && executor->failedContacts == 0;
+        return run.phase == run_phase::running && run.progress >= startUpComplete && executor != nullptr && executor->isHostUp && executor->failedContacts == 0;
     });
 }
 
--- a/src/scheduler/wave_manager.cpp
+++ b/src/scheduler/wave_manager.cpp
@@ -50,11 +50,11 @@
     for (const auto &[name, before] : earlier) {
         const host_description *host = findHost(name);
         if (host == nullptr || host->executor != before.executor) {
-            m_scheduler.setHostUp(before.executor, false);
+            m_scheduler.setHostUp(before.executor, false, m_hostsRequestedAt);
         }
     }
     for (const auto &[name, host] : m_hosts) {
-        m_scheduler.setHostUp(host.executor, host.state == host_state::up);
+        m_scheduler.setHostUp(host.executor, host.state == host_state::up, m_hostsRequestedAt);
     }
 }
 
--- a/tests/scheduler/evacuation_test.cpp
+++ b/tests/scheduler/evacuation_test.cpp
@@ -71,6 +71,27 @@
     CHECK(cluster.stops.empty());
 }
 
+// Guards against an evacuation that makes one task too many unavailable: another task of the step is on a host that the host list shows as down, while
+// its executor has not missed a poll yet (AVAIL).
+TEST_CASE("a task on a host that is not up counts as unavailable")
+{
+    manual_cluster cluster;
+    cluster.addExecutor("a");
+    cluster.addExecutor("b");
+    cluster.addExecutor("c");
+    cluster.submit("job", {longRunningStep(2)});
+    cluster.settle();
+    cluster.settle(400ms);
+    for (const char *id : {"a", "b", "c"}) {
+        cluster.respondToPoll(id);
+    }
+    REQUIRE(cluster.starts.size() == 2);
+    cluster.state.setHostUp(cluster.starts[0].target.executor, false, cluster.now);
+    cluster.state.setEvacuating(cluster.starts[1].target.executor, true);
+    cluster.settle();
+    CHECK(cluster.stops.empty());
+}
+
 // Guards against stopping an available task while others of its step are unavailable: the first start order was carried out but its response
 // was lost, and the repeated order could not be sent. Found by late-reborn seed 2 of austral-pistas (AVAIL).
 TEST_CASE("a long-running task is not stopped when its repeated start order cannot be sent", "[recovery]")
