--- a/src/scheduler/executor_state.h
+++ b/src/scheduler/executor_state.h
@@ -72,10 +72,16 @@
         return description.capacity - used;
     }
 
+    /** Whether a run that was placed on the executor may still be started there. */
+    bool acceptsStarts() const
+    {
+        return isListed && isHostUp && !description.draining && failedContacts == 0;
+    }
+
     /** Whether new runs may be placed on the executor. */
     bool isSchedulable(time_point now) const
     {
-        return isListed && isHostUp && isSynchronised && !isEvacuating && !description.draining && failedContacts == 0 && now >= avoidUntil;
+        return acceptsStarts() && isSynchronised && !isEvacuating && now >= avoidUntil;
     }
 };
 
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -33,6 +33,14 @@
         return;
     }
 
+    if (!run.mayArriveLate && !executor.acceptsStarts()) {
+        addDecision("start-withdrawn", key.task.job, toText(key.task), run.executor,
+                    "run=" + std::to_string(key.run) + " listed=" + std::to_string(executor.isListed ? 1 : 0)
+                        + " host-up=" + std::to_string(executor.isHostUp ? 1 : 0) + " failed-contacts=" + std::to_string(executor.failedContacts));
+        releaseRun(key);
+        return;
+    }
+
     run.phase = run_phase::ordered;
     run.phaseStartedAt = now;
     run.orderedAt = now;
--- a/tests/scheduler/departed_executor_test.cpp
+++ b/tests/scheduler/departed_executor_test.cpp
@@ -89,7 +89,8 @@
     wave_manager waves{cluster.state, {0s}};
 };
 
-/** Lets the cluster run. Start orders to executors of an earlier life can't be delivered. Returns how many were not. */
+/** Lets the cluster run. Start orders to executors of an earlier life can't be delivered; they are answered like those that the leader could not send, so that
+    only the host list keeps work from these executors. Returns how many were not delivered. */
 int countUndeliveredStarts(manual_cluster &cluster, duration time)
 {
     int undelivered = 0;
@@ -178,3 +179,38 @@
     cluster.settle();
     CHECK(cluster.starts.size() == 1);
 }
+
+// Guards against a start that is lost for certain: the run was placed while the host was up, and the host was gone when the journal had the run.
+TEST_CASE("a run that waits for its record is not started once its executor is gone")
+{
+    manual_cluster cluster;
+    wave_manager waves{cluster.state, {0s}};
+    cluster.addExecutor("before-0");
+    cluster.addExecutor("remaining", largeCapacity);
+    waves.setHosts({hostWith("host", "before-0"), hostWith("other", "remaining")}, cluster.now);
+    cluster.submit("lasting", {longRunningStep(1)});
+    cluster.now += 20ms;
+    cluster.state.decide(cluster.now, cluster.wall());
+    const auto batch = cluster.state.takeBatch();
+    REQUIRE(batch);
+    REQUIRE(cluster.state.findExecutor("before-0")->runs.size() == 1);
+
+    waves.setHosts({hostWith("host", "after-0"), hostWith("other", "remaining")}, cluster.now);
+    cluster.state.confirmBatch(batch->number, cluster.now);
+    CHECK(countUndeliveredStarts(cluster, 200ms) == 0);
+    CHECK(cluster.state.findExecutor("remaining")->runs.size() == 1);
+}
+
+// Guards against an executor that is out of use until the next list: one that was requested before the new boot shows the host down.
+TEST_CASE("a host list that was requested before a boot was known does not speak of that boot")
+{
+    manual_cluster cluster;
+    wave_manager waves{cluster.state, {0s}};
+    const time_point requestedBefore = cluster.now;
+    cluster.now += 10ms;
+    cluster.addExecutor("executor");
+    waves.setHosts({hostWith("host", "executor", host_state::down)}, requestedBefore);
+    cluster.submit("job", {longRunningStep(1)});
+    cluster.settle();
+    CHECK(cluster.starts.size() == 1);
+}
