--- a/src/external/http_requester.cpp
+++ b/src/external/http_requester.cpp
@@ -355,7 +355,7 @@
         evbuffer_add(evhttp_request_get_output_buffer(outgoing), request.body.data(), request.body.size());
 
         if (evhttp_make_request(item.handle.get(), outgoing, method, request.target.c_str()) != 0) {
-            finishRequest(item, failedResult(http_delivery::unreachable, "no connection could be opened"), false);
+            finishRequest(item, failedResult(http_delivery::not_sent, "no connection could be opened"), false);
         }
     }
 
--- a/src/scheduler/scheduler_polls.cpp
+++ b/src/scheduler/scheduler_polls.cpp
@@ -111,7 +111,8 @@
     }
     if (response.result != order_result::done) {
         noteFailedContact(executor, response.result, now);
-        executor.nextPoll = now + (executor.runs.empty() ? m_settings.idlePollRetryDelay : m_settings.pollRetryDelay);
+        const bool isIdle = executor.isSynchronised && executor.runs.empty();
+        executor.nextPoll = now + (isIdle ? m_settings.idlePollRetryDelay : m_settings.pollRetryDelay);
         return;
     }
 
