--- a/src/control/journal_loader.cpp
+++ b/src/control/journal_loader.cpp
@@ -47,6 +47,11 @@
     });
 }
 
+void journal_loader::expectResignation()
+{
+    m_isResignationExpected = true;
+}
+
 void journal_loader::handleEnd(const store_page &page)
 {
     if (!page.isAvailable) {
@@ -59,6 +64,11 @@
         loadPage(); // the journal is empty
         return;
     }
+    readLastRecord();
+}
+
+void journal_loader::readLastRecord()
+{
     m_store.read(store_topic::journal, m_end - 1, {duration::zero(), watchReadBytes}, whileExists(&journal_loader::handleLastRecord));
 }
 
@@ -75,7 +85,11 @@
     if (read.status == store_read_status::ok) {
         m_end = read.next;
     }
-    watch();
+    if (m_wasAppendedTo) {
+        handleActivity();
+    } else {
+        watch();
+    }
 }
 
 void journal_loader::watch()
@@ -89,16 +103,32 @@
         finish(journal_state::unavailable, read.reason);
         return;
     }
-    const bool wasWritten = !read.records.empty();
-    if (wasWritten && !hasResigned(read.records.back())) {
-        m_end = read.next;
-        finish(journal_state::active);
+    if (read.records.empty()) {
+        m_watchedEnd = m_end;
+        loadPage();
         return;
     }
-    if (!wasWritten) {
-        m_watchedEnd = m_end;
+    m_wasAppendedTo = true;
+    m_end = read.end;
+    if (read.next < m_end) {
+        // The batch is larger than the read, and a resignation is the last record of its batch.
+        readLastRecord();
+    } else if (hasResigned(read.records.back())) {
+        loadPage();
+    } else {
+        handleActivity();
+    }
+}
+
+/** Handles appended records that do not end with a resignation. */
+void journal_loader::handleActivity()
+{
+    // A leader that resigns may first append a batch that was already under way.
+    if (m_isResignationExpected && m_timers.now() - m_startedAt < m_silenceTimeout) {
+        watch();
+        return;
     }
-    loadPage();
+    finish(journal_state::active);
 }
 
 std::function<void(const store_read_result &)> journal_loader::whileExists(void (journal_loader::*handler)(const store_read_result &))
--- a/src/control/journal_loader.h
+++ b/src/control/journal_loader.h
@@ -46,11 +46,17 @@
     /** Starts watching. @pre not started before */
     void start();
 
+    /** States that the leader resigns, but may not have recorded it yet. Records that do not end with a resignation then do not end the watch until it has
+        lasted for the silence timeout. The journal still counts as silent only when no record was appended for the whole silence timeout. */
+    void expectResignation();
+
 private:
     void handleEnd(const store_page &page);
+    void readLastRecord();
     void handleLastRecord(const store_read_result &read);
     void watch();
     void handleWatchResult(const store_read_result &read);
+    void handleActivity();
     void loadPage();
     void handlePage(const store_page &page);
     void catchUp(duration wait);
@@ -68,6 +74,8 @@
     std::string m_afterKey;
     std::uint64_t m_end = 0;
     std::optional<std::uint64_t> m_watchedEnd; /**< End of the journal throughout the watch; set when nothing was appended. */
+    bool m_isResignationExpected = false; /**< The leader has stated that it resigns. */
+    bool m_wasAppendedTo = false; /**< A record was appended while the journal was watched. */
     bool m_isFirstPage = true;
     bool m_hasNoWriter = true; /**< The journal is empty, or the last writer has resigned. */
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/src/control/leadership_task.cpp
+++ b/src/control/leadership_task.cpp
@@ -385,6 +385,9 @@
     const auto stalled = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.journalStallTimeout).count();
     if (!status.leading || status.resigning) {
         suspect(status.resigning ? "resigning" : "no longer leading");
+        if (m_loader && status.resigning) {
+            m_loader->expectResignation();
+        }
     } else if (status.journalAgeMilliseconds > stalled) {
         suspect("the leader's journal is stalled");
     } else {
--- a/tests/control/journal_test.cpp
+++ b/tests/control/journal_test.cpp
@@ -199,6 +199,88 @@
     CHECK(loaded->end == store.end(store_topic::journal));
 }
 
+// Incident LOST: a resignation at the end of a batch larger than one read of the watch was taken for a leader that still appends.
+TEST_CASE("a resignation that ends a large batch ends the watch at once", "[journal]")
+{
+    constexpr std::size_t entryBytes = 1000;
+    constexpr int entryCount = 100;
+    manual_timer_service timers;
+    memory_store store(timers);
+    wire::batch_record header;
+    header.writer = 7;
+    store.put(store_topic::journal, {{journal_writer::batchKey, encode(header)}});
+    std::optional<journal_loader::result> loaded;
+    journal_loader loader(timers, store, {}, 1200ms, [&](journal_loader::result result) { loaded = std::move(result); });
+    loader.start();
+    timers.advance(100ms);
+
+    header.resigned = GENERATE(true, false);
+    std::vector<journal_entry> batch{{journal_writer::batchKey, encode(header)}};
+    for (int number = 0; number < entryCount; ++number) {
+        batch.push_back({"m" + std::to_string(number), std::string(entryBytes, 'x')});
+    }
+    if (header.resigned) {
+        batch.push_back({journal_writer::batchKey, encode(header)});
+    }
+    store.put(store_topic::journal, batch);
+    timers.advance(50ms);
+    REQUIRE(loaded);
+    CHECK(loaded->state == (header.resigned ? journal_loader::journal_state::silent : journal_loader::journal_state::active));
+    CHECK((loaded->hasResigned || !header.resigned));
+    CHECK(loaded->end == store.end(store_topic::journal));
+}
+
+// Guards against an attempt that ends, and costs its backoff, while the resigning leader still appends the batch before its resignation; and against a
+// takeover from a leader that goes on appending.
+TEST_CASE("a watch that expects a resignation lasts until it is recorded, but no longer than the silence timeout", "[journal]")
+{
+    manual_timer_service timers;
+    memory_store store(timers);
+    wire::batch_record header;
+    header.writer = 7;
+    const auto put = [&] {
+        store.put(store_topic::journal, {{journal_writer::batchKey, encode(header)}});
+    };
+    put();
+    std::optional<journal_loader::result> loaded;
+    journal_loader loader(timers, store, {}, 1200ms, [&](journal_loader::result result) { loaded = std::move(result); });
+    loader.start();
+    loader.expectResignation();
+    timers.advance(100ms);
+    put();
+    timers.advance(300ms);
+    REQUIRE_FALSE(loaded);
+
+    SECTION("recorded")
+    {
+        header.resigned = true;
+        put();
+        timers.advance(50ms);
+        REQUIRE(loaded);
+        CHECK(loaded->state == journal_loader::journal_state::silent);
+        CHECK(loaded->hasResigned);
+    }
+    SECTION("not recorded by a leader that goes on appending")
+    {
+        // The watch has lasted for the silence timeout and a few round trips when the last of these records is appended.
+        for (int step = 0; step < 6; ++step) {
+            put();
+            timers.advance(200ms);
+        }
+        REQUIRE(loaded);
+        CHECK(loaded->state == journal_loader::journal_state::active);
+    }
+    SECTION("not recorded by a leader that is lost")
+    {
+        timers.advance(800ms);
+        CHECK_FALSE(loaded);
+        timers.advance(200ms);
+        REQUIRE(loaded);
+        CHECK(loaded->state == journal_loader::journal_state::silent);
+        CHECK_FALSE(loaded->hasResigned);
+    }
+}
+
 // Guards against an avoidable time without a leader.
 TEST_CASE("a journal that is empty or whose last writer has resigned is not watched", "[journal]")
 {
--- a/tests/control/leadership_test.cpp
+++ b/tests/control/leadership_test.cpp
@@ -83,6 +83,57 @@
     CHECK(second->leadership().leader() != nullptr);
 }
 
+// Incident LOST: a batch that a resigning leader appended before its resignation ended the attempts of all entry hosts, which then waited for the backoff.
+TEST_CASE("a leader that says that it resigns is succeeded as soon as the resignation is recorded", "[control]")
+{
+    event_loop loop;
+    control_platform platform(loop);
+    platform.store.put(store_topic::operators, {{"configuration", "1"}});
+    wire::batch_record header;
+    const auto putBatch = [&] {
+        platform.store.put(store_topic::journal, {{journal_writer::batchKey, encode(header)}});
+    };
+    putBatch();
+
+    // A leader that replies to each probe that it resigns.
+    const control_settings resigning = controlSettings(1, freePort());
+    const peer_settings resigningPeers = peerSettings(resigning);
+    int probes = 0;
+    peer_server server(loop, resigningPeers, resigning.peerAddress,
+                       [&](const peer_identity &, wire::peer_message &message, const peer_server::reply_function &reply) {
+                           if (message.__isset.probe) {
+                               ++probes;
+                               wire::leader_status status;
+                               status.leading = true;
+                               status.resigning = true;
+                               wire::peer_message response;
+                               response.__set_probeReply(status);
+                               reply(response);
+                           }
+                       });
+    REQUIRE(server.listen());
+    wire::batch_record announcement;
+    announcement.peerAddress = resigning.peerAddress;
+    platform.store.put(store_topic::leader, {{"leader", encode(announcement)}});
+
+    // With these times the entry host can take over only in its first attempt, and only after a resignation.
+    control_settings settings = controlSettings(0, freePort());
+    settings.journalSilenceTimeout = 1h;
+    settings.electionBackoff = 1h;
+    control_daemon entryHost(loop, platform.clients(), settings, peerSettings(settings));
+    REQUIRE(entryHost.start());
+    runUntil(loop, 5s, [&] { return probes > 1; });
+    REQUIRE(probes > 1);
+
+    putBatch();
+    runUntil(loop, 200ms, [] { return false; });
+    CHECK(entryHost.leadership().leader() == nullptr);
+    header.resigned = true;
+    putBatch();
+    runUntil(loop, 5s, [&] { return entryHost.leadership().leader() != nullptr; });
+    CHECK(entryHost.leadership().leader() != nullptr);
+}
+
 // Guards against a leader whose processor share is too small for the fleet while other entry hosts have enough.
 TEST_CASE("an entry host with a low processor share leaves leadership to one with a larger share", "[control]")
 {
