--- a/src/control/leader_task.cpp
+++ b/src/control/leader_task.cpp
@@ -347,6 +347,9 @@
                 }
             } else {
                 m_metrics.countDecision(item.decision);
+                if (!m_decisions.acceptsInfo()) {
+                    return;
+                }
                 m_decisions.info(item.decision + (item.inputs.empty() ? "" : ' ' + item.inputs),
                                  {{"job", item.job}, {"task", item.task}, {"executor", item.executor}, {"host", item.host}});
             }
--- a/src/runtime/logger.cpp
+++ b/src/runtime/logger.cpp
@@ -13,7 +13,6 @@
 #include <boost/log/utility/setup/console.hpp>
 #include <boost/make_shared.hpp>
 #include <iostream>
-#include <unistd.h>
 
 namespace parsleyglade {
 
@@ -66,10 +65,15 @@
     line += '"';
 }
 
-/** Log sink that writes formatted lines to standard output through a bounded writer. */
+/** Log sink that writes formatted lines through a bounded writer. */
 class bounded_backend final : public boost_log::sinks::basic_formatted_sink_backend<char, boost_log::sinks::synchronized_feeding>
 {
 public:
+    explicit bounded_backend(int descriptor)
+        : m_writer(descriptor, settings())
+    {
+    }
+
     void consume(const boost_log::record_view &record, const string_type &line)
     {
         const auto level = boost_log::extract<log_level>("Severity", record);
@@ -100,7 +104,7 @@
         return values;
     }
 
-    bounded_writer m_writer{STDOUT_FILENO, settings()};
+    bounded_writer m_writer;
 };
 
 boost::shared_ptr<bounded_backend> &boundedBackend()
@@ -109,14 +113,30 @@
     return instance;
 }
 
+log_level &minimumLevel()
+{
+    static log_level instance = log_level::debug;
+    return instance;
+}
+
+/** Whether a line of the level would be written now. If only the rate limit prevents that, counts the line as dropped. */
+bool accepts(log_level level)
+{
+    if (level < minimumLevel()) {
+        return false;
+    }
+    const bool isLimited = level <= log_level::info && boundedBackend();
+    return !isLimited || !boundedBackend()->dropUnformatted();
+}
+
 void write(log_level level, std::string_view prefix, std::string_view message, std::initializer_list<log_field> fields)
 {
-    boost_log::record record = source().open_record(boost_log::keywords::severity = level);
-    if (!record) {
+    // Before the record is opened: that and formatting cost far more than counting, and most lines are dropped just when the process has the least time.
+    if (!accepts(level)) {
         return;
     }
-    // Formatting costs far more than counting, and most lines are dropped just when the process has the least time.
-    if (level <= log_level::info && boundedBackend() && boundedBackend()->dropUnformatted()) {
+    boost_log::record record = source().open_record(boost_log::keywords::severity = level);
+    if (!record) {
         return;
     }
 
@@ -141,6 +161,11 @@
 
 } // namespace
 
+bool logger::acceptsInfo() const
+{
+    return accepts(log_level::info);
+}
+
 void logger::debug(std::string_view message, std::initializer_list<log_field> fields) const
 {
     write(log_level::debug, m_prefix, message, fields);
@@ -181,10 +206,7 @@
 void setMinimumLevel(log_level minimum)
 {
     boost_log::add_common_attributes();
-    boost_log::core::get()->set_filter([minimum](const boost_log::attribute_value_set &values) {
-        const auto level = boost_log::extract<log_level>("Severity", values);
-        return level && *level >= minimum;
-    });
+    minimumLevel() = minimum;
 }
 
 } // namespace
@@ -198,9 +220,9 @@
     setMinimumLevel(minimum);
 }
 
-void setUpBoundedLogging(log_level minimum, std::string processName)
+void setUpBoundedLogging(log_level minimum, std::string processName, int descriptor)
 {
-    boundedBackend() = boost::make_shared<bounded_backend>();
+    boundedBackend() = boost::make_shared<bounded_backend>(descriptor);
     const auto sink = boost::make_shared<boost_log::sinks::synchronous_sink<bounded_backend>>(boundedBackend());
     sink->set_formatter([processName = std::move(processName)](const boost_log::record_view &record, boost_log::formatting_ostream &stream) {
         formatRecord(processName, record, stream);
--- a/src/runtime/logger.h
+++ b/src/runtime/logger.h
@@ -52,6 +52,12 @@
     {
     }
 
+    /**
+     * Whether a line of level info would be written now. Asked before a line whose message and fields are costly to compose. If the result is false,
+     * the line must be left out: it is already counted as dropped, or is below the minimum level.
+     */
+    bool acceptsInfo() const;
+
     void debug(std::string_view message, std::initializer_list<log_field> fields = {}) const;
     void info(std::string_view message, std::initializer_list<log_field> fields = {}) const;
     void notice(std::string_view message, std::initializer_list<log_field> fields = {}) const;
@@ -65,8 +71,8 @@
 /** Writes log lines of at least the minimum level to standard error, each with the wall time, its level and the process's name. */
 void setUpLogging(log_level minimum, std::string processName);
 
-/** Writes the same lines to standard output instead, through a bounded_writer, which never blocks. */
-void setUpBoundedLogging(log_level minimum, std::string processName);
+/** Writes the same lines to a file descriptor instead, through a bounded_writer, which never blocks. The caller keeps the ownership of the descriptor. */
+void setUpBoundedLogging(log_level minimum, std::string processName, int descriptor);
 
 /** Returns the number of lines that the bounded log has dropped so far; 0 without a bounded log. */
 std::uint64_t droppedLogLines();
--- a/tests/runtime/bounded_writer_test.cpp
+++ b/tests/runtime/bounded_writer_test.cpp
@@ -1,47 +1,12 @@
 #include "runtime/bounded_writer.h"
 
-#include <array>
+#include "pipe_fixture.h"
+
 #include <catch2/catch.hpp>
-#include <fcntl.h>
-#include <unistd.h>
 
 using namespace parsleyglade;
 using namespace std::chrono_literals;
 
-namespace {
-
-struct pipe_fixture
-{
-    pipe_fixture()
-    {
-        REQUIRE(::pipe(ends.data()) == 0);
-        ::fcntl(ends[0], F_SETFL, O_NONBLOCK);
-    }
-
-    ~pipe_fixture()
-    {
-        ::close(ends[0]);
-        ::close(ends[1]);
-    }
-
-    pipe_fixture(const pipe_fixture &) = delete;
-    pipe_fixture &operator=(const pipe_fixture &) = delete;
-
-    std::string readAll() const
-    {
-        std::string text;
-        std::array<char, 4096> buffer{};
-        for (ssize_t readBytes = 0; (readBytes = ::read(ends[0], buffer.data(), buffer.size())) > 0;) {
-            text.append(buffer.data(), static_cast<std::size_t>(readBytes));
-        }
-        return text;
-    }
-
-    std::array<int, 2> ends{};
-};
-
-} // namespace
-
 // Guards against notices of dropped lines that displace the lines themselves under steady overload.
 TEST_CASE("dropped lines are reported at most once in each interval")
 {
--- a/tools/measure-scheduler/allocation_counter.cpp
+++ b/tools/measure-scheduler/allocation_counter.cpp
@@ -18,6 +18,13 @@
     throw std::bad_alloc();
 }
 
+// Replaced too, because AddressSanitizer rejects memory of its own operator new in the operator delete below.
+void *operator new(std::size_t size, const std::nothrow_t &) noexcept
+{
+    ++count;
+    return std::malloc(size == 0 ? 1 : size);
+}
+
 void operator delete(void *memory) noexcept
 {
     std::free(memory);
