--- a/src/scheduler/admission_control.cpp
+++ b/src/scheduler/admission_control.cpp
@@ -24,14 +24,20 @@
     }
 }
 
-void admission_control::setControlDelay(duration delay)
+void admission_control::setRoundDelay(duration delay)
 {
-    m_controlDelay = delay;
+    m_roundDelay = delay;
 }
 
-duration admission_control::controlDelay() const
+void admission_control::setStartDelay(duration delayPerStart, duration presentDelay)
 {
-    return m_controlDelay;
+    m_delayPerStart = delayPerStart;
+    m_presentStartDelay = presentDelay;
+}
+
+duration admission_control::controlDelay(int startsInSequence) const
+{
+    return std::max({m_roundDelay, m_delayPerStart * startsInSequence, m_presentStartDelay});
 }
 
 duration admission_control::expectedWait(const std::string &service) const
@@ -44,10 +50,10 @@
     return std::chrono::duration_cast<duration>(wait);
 }
 
-std::optional<duration> admission_control::findRetryDelay(const std::string &service, duration capacityLimit, duration controlLimit,
-                                                          const std::string &caller) const
+std::optional<duration> admission_control::findRetryDelay(const std::string &service, duration capacityLimit, duration controlLimit, const std::string &caller,
+                                                          int startsInSequence) const
 {
-    const duration excess = std::max(expectedWait(service) - capacityLimit, m_controlDelay - controlLimit);
+    const duration excess = std::max(expectedWait(service) - capacityLimit, controlDelay(startsInSequence) - controlLimit);
     if (excess <= duration::zero()) {
         return std::nullopt;
     }
--- a/src/scheduler/admission_control.h
+++ b/src/scheduler/admission_control.h
@@ -30,8 +30,16 @@
     /** Adds work that was accepted since the last update. */
     void addAccepted(const std::string &service, double millicoreMilliseconds);
 
-    /** Sets the delay that the control path adds to each job at its present load. */
-    void setControlDelay(duration delay);
+    /** Sets the delay that rounds of decisions add to each job at their present rate. */
+    void setRoundDelay(duration delay);
+
+    /** Sets the delays of start orders. @param delayPerStart what each start in the sequence of a job waits for, on average
+        @param presentDelay what the first start is expected to wait for, because the batch in flight has already taken so long */
+    void setStartDelay(duration delayPerStart, duration presentDelay);
+
+    /** Returns the delay that the control path adds to a job: the largest of those of its rounds and of its start orders, which overlap.
+        @param startsInSequence starts that the job needs one after the other */
+    duration controlDelay(int startsInSequence) const;
 
     /** Returns the time that new work of the service waits for capacity; zero if nothing is known about the
      * service. */
@@ -40,13 +48,15 @@
     /** Decides about a job. @param capacityLimit longest wait for capacity after which the job is still useful to its caller
         @param controlLimit longest delay of the control path with which the job still meets its objective
         @param caller any text of the caller's; spreads the returns of different callers
+        @param startsInSequence starts that the job needs one after the other
         @return the time after which the caller may retry, or nothing if the job should be accepted */
-    std::optional<duration> findRetryDelay(const std::string &service, duration capacityLimit, duration controlLimit, const std::string &caller) const;
-
-    duration controlDelay() const;
+    std::optional<duration> findRetryDelay(const std::string &service, duration capacityLimit, duration controlLimit, const std::string &caller,
+                                           int startsInSequence = 1) const;
 
 private:
-    duration m_controlDelay{};
+    duration m_roundDelay{};
+    duration m_delayPerStart{};
+    duration m_presentStartDelay{};
     std::map<std::string, service_load> m_loads;
 };
 
--- a/src/scheduler/job_records.cpp
+++ b/src/scheduler/job_records.cpp
@@ -66,6 +66,28 @@
     return record;
 }
 
+/** A chain of dependent steps. Chains are compared by run time first. */
+struct step_chain
+{
+    std::int64_t milliseconds = 0;
+    int steps = 0;
+
+    friend auto operator<=>(const step_chain &, const step_chain &) = default;
+};
+
+step_chain findLongestChain(const wire::work_record &work)
+{
+    std::vector<step_chain> chains; // the longest that ends with each step
+    for (const wire::step_record &step : work.steps) {
+        step_chain before;
+        for (const int number : step.after) {
+            before = std::max(before, chains[static_cast<std::size_t>(number)]);
+        }
+        chains.push_back({before.milliseconds + step.estimateMilliseconds, before.steps + 1});
+    }
+    return chains.empty() ? step_chain{} : *std::max_element(chains.begin(), chains.end());
+}
+
 /** Returns the smallest amount of each resource that a step of the job reserves. @pre the job has a step */
 resources smallestDemandOf(const wire::work_record &work)
 {
@@ -107,16 +129,12 @@
 
 duration computeCriticalPath(const wire::work_record &work)
 {
-    std::vector<std::int64_t> ends;
-    for (const wire::step_record &step : work.steps) {
-        std::int64_t start = 0;
-        for (const int before : step.after) {
-            start = std::max(start, ends[static_cast<std::size_t>(before)]);
-        }
-        ends.push_back(start + step.estimateMilliseconds);
-    }
-    const std::int64_t longest = ends.empty() ? 0 : *std::max_element(ends.begin(), ends.end());
-    return std::chrono::milliseconds(longest);
+    return std::chrono::milliseconds(findLongestChain(work).milliseconds);
+}
+
+int countStartsInSequence(const wire::work_record &work)
+{
+    return findLongestChain(work).steps;
 }
 
 std::optional<std::string> findWorkFault(const wire::work_record &work)
--- a/src/scheduler/job_records.h
+++ b/src/scheduler/job_records.h
@@ -14,6 +14,10 @@
 /** Returns the declared run time of the longest chain of dependent steps. */
 duration computeCriticalPath(const wire::work_record &work);
 
+/** Returns the number of steps of the longest chain of dependent steps by declared run time, which start one after the other. Of several chains with the
+    longest run time, the one with the most steps counts. */
+int countStartsInSequence(const wire::work_record &work);
+
 /** Validates a job description. Returns the reason why it can never run, or nothing if it is valid. */
 std::optional<std::string> findWorkFault(const wire::work_record &work);
 
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -12,6 +12,7 @@
 #include "scheduler/scheduler_counters.h"
 #include "scheduler/scheduler_settings.h"
 #include "scheduler/service_demand.h"
+#include "scheduler/start_delay.h"
 #include "scheduler/wake_queue.h"
 
 #include <limits>
@@ -297,6 +298,8 @@
     std::optional<duration> findRetryDelay(const std::string &job, const wire::work_record &work, const queue_policy &queue);
     void updateAdmission(time_point now);
     void measureDecisionInterval(time_point now);
+    void measureStartDelay(time_point now);
+    void addStartWaits(const std::vector<run_key> &recorded, time_point now);
     void addWaitingWork(service_load &load, const scheduled_job &job) const;
     double runTimeRatio(const std::string &queue) const;
 
@@ -350,6 +353,7 @@
     admission_control m_admission;
     time_point m_nextAdmissionUpdate{};
     duration m_decisionInterval{}; /**< Between two calls of decide(), averaged. */
+    start_delay m_startDelay; /**< From planRun() to sendStart(). */
     std::unordered_map<std::string, run_time_ratio> m_runTimeRatios; /**< By queue. */
     std::map<std::string, arrival_window> m_arrivals; /**< By service, in millicore-milliseconds. */
     time_point m_now{}; /**< Of the last lead() or decide(). */
@@ -361,6 +365,7 @@
     std::set<std::string> m_changedLeaseRecords;
     std::uint64_t m_batch = 0; /**< Number of the last batch that takeBatch() has returned. */
     std::uint64_t m_confirmedBatch = 0;
+    time_point m_batchTakenAt{}; /**< Of the last decide() before takeBatch() returned the last batch. */
     bool m_isBatchUnconfirmed = false; /**< The last batch is not confirmed yet. */
     bool m_isDeposed = false;
     bool m_isRegistryKnown = false; /**< All entries of the registry have been passed at least once. */
--- a/src/scheduler/scheduler_admission.cpp
+++ b/src/scheduler/scheduler_admission.cpp
@@ -6,6 +6,18 @@
 
 namespace parsleyglade {
 
+namespace {
+
+// Longest wait of a planned run for its start order unless the leader is overloaded: the batch in flight and its own, of 50 ms each.
+constexpr duration expectedStartDelay = std::chrono::milliseconds{100};
+
+duration excessOf(duration startDelay)
+{
+    return std::max(startDelay - expectedStartDelay, duration::zero());
+}
+
+} // namespace
+
 /** Returns the time after which the caller of a job may retry if the job would wait too long, or nothing if it should be accepted. Timed and
     long-running jobs are always accepted, since their tasks do not have to start at once. */
 std::optional<duration> scheduler::findRetryDelay(const std::string &job, const wire::work_record &work, const queue_policy &queue)
@@ -18,14 +30,15 @@
     const duration objective = std::chrono::duration_cast<duration>(path * queue.stretch) + std::chrono::milliseconds(queue.targetMilliseconds);
     const duration controlLimit = std::chrono::duration_cast<duration>((objective - path) * m_settings.admittedSlackShare);
     const duration capacityLimit = objective * m_settings.uselessAfterObjectives - path;
-    const auto retryDelay = m_admission.findRetryDelay(queue.service, capacityLimit, controlLimit, job);
+    const int starts = countStartsInSequence(work);
+    const auto retryDelay = m_admission.findRetryDelay(queue.service, capacityLimit, controlLimit, job, starts);
     if (retryDelay) {
         const auto toText = [](duration time) {
             return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
         };
         addDecision("refuse", job, {}, {},
                     "queue=" + queue.name + " expected-wait=" + toText(m_admission.expectedWait(queue.service)) + " wait-limit=" + toText(capacityLimit)
-                        + " control-delay=" + toText(m_admission.controlDelay()) + " delay-limit=" + toText(controlLimit)
+                        + " control-delay=" + toText(m_admission.controlDelay(starts)) + " delay-limit=" + toText(controlLimit)
                         + " retry-after=" + toText(*retryDelay));
     }
     return retryDelay;
@@ -37,7 +50,35 @@
     constexpr int smoothing = 8; // rounds over which the interval is averaged
     m_decisionInterval += (std::min(now - m_now, m_settings.maximumDecisionInterval) - m_decisionInterval) / smoothing;
     const duration excess = std::max(m_decisionInterval - m_settings.expectedDecisionInterval, duration::zero());
-    m_admission.setControlDelay(excess * m_settings.decisionRoundsPerJob);
+    m_admission.setRoundDelay(excess * m_settings.decisionRoundsPerJob);
+}
+
+/** Measures how long planned runs wait until their start is ordered. The rate of batches may be low although rounds of decisions are frequent. */
+void scheduler::measureStartDelay(time_point now)
+{
+    if (m_planned.empty() && m_recording.empty()) {
+        m_startDelay.forgetIfOld(now);
+    }
+    const duration batchAge = m_isBatchUnconfirmed ? now - m_batchTakenAt : duration::zero();
+    m_admission.setStartDelay(excessOf(m_startDelay.expected()), excessOf(batchAge));
+}
+
+/** Adds the waits of runs that the journal has and whose start is about to be ordered. They count up to twice the time of their batch: what they have waited
+    beyond it is due to a late batch before, which is over. */
+void scheduler::addStartWaits(const std::vector<run_key> &recorded, time_point now)
+{
+    duration sum{};
+    int runs = 0;
+    for (const run_key &key : recorded) {
+        const scheduled_run *run = findRun(key);
+        if (run != nullptr && run->phase == run_phase::recording) {
+            sum += now - run->phaseStartedAt;
+            ++runs;
+        }
+    }
+    if (runs > 0) {
+        m_startDelay.add(std::min(sum / runs, (now - m_batchTakenAt) * 2), now);
+    }
 }
 
 double scheduler::runTimeRatio(const std::string &queue) const
--- a/src/scheduler/scheduler_batches.cpp
+++ b/src/scheduler/scheduler_batches.cpp
@@ -68,6 +68,7 @@
         }
     }
     m_isBatchUnconfirmed = true;
+    m_batchTakenAt = m_now;
     ++m_counters.batches;
     for (const journal_entry &entry : batch.entries) {
         m_counters.batchBytes += entry.key.size() + entry.value.size();
@@ -147,6 +148,8 @@
     m_recordingReplies.clear();
 
     const std::vector<run_key> recorded = std::exchange(m_recording, {});
+    addStartWaits(recorded, now);
+    measureStartDelay(now); // the owner may pass on calls before the next decide()
     for (const run_key &key : recorded) {
         if (scheduled_run *run = findRun(key)) {
             sendStart(key, *run, now);
--- a/src/scheduler/scheduler_runs.cpp
+++ b/src/scheduler/scheduler_runs.cpp
@@ -58,6 +58,7 @@
 {
     ++m_counters.rounds;
     measureDecisionInterval(now);
+    measureStartDelay(now);
     m_now = now;
     m_wallNow = wallNow;
     checkDueExecutors(now);
--- a/tests/scheduler/overload_test.cpp
+++ b/tests/scheduler/overload_test.cpp
@@ -1,5 +1,6 @@
 #include "manual_cluster.h"
 #include "scheduler/admission_control.h"
+#include "scheduler/job_records.h"
 #include "scheduler/run_time_ratio.h"
 
 #include <catch2/catch.hpp>
@@ -16,6 +17,22 @@
 constexpr duration runTime = 500ms;
 constexpr duration turn = 10ms;
 
+/** Makes steps of one task that run one after the other. */
+std::vector<wire::step_record> makeChain(int steps, std::int64_t estimateMilliseconds = 100)
+{
+    std::vector<wire::step_record> chain(static_cast<std::size_t>(steps));
+    for (int step = 0; step < steps; ++step) {
+        wire::step_record &record = chain[static_cast<std::size_t>(step)];
+        record.taskCount = 1;
+        record.demand.cpuMillicores = 100;
+        record.estimateMilliseconds = estimateMilliseconds;
+        if (step > 0) {
+            record.after.push_back(step - 1);
+        }
+    }
+    return chain;
+}
+
 /** One service whose queue gets a multiple of the work that its executors can carry. Executors end each task after its run time and report all
     running long-running tasks as available. The journal takes several turns for a batch. */
 class overload_run
@@ -29,7 +46,7 @@
         }
         wire::step_record lasting = longRunningStep(4);
         lasting.demand.cpuMillicores = 500;
-        submit("lasting", lasting);
+        submit("lasting", {lasting});
     }
 
     void run(duration length)
@@ -42,12 +59,25 @@
                 step.taskCount = tasksPerJob;
                 step.demand.cpuMillicores = 1'000;
                 step.estimateMilliseconds = 500;
-                submit("job-" + std::to_string(m_submitted++), step);
+                submit("job-" + std::to_string(m_submitted++), {step});
             }
             advance();
         }
     }
 
+    /** Sets how long the journal takes for each of the next batches. */
+    void setBatchTime(duration time)
+    {
+        m_batchTime = time;
+    }
+
+    /** Submits one more job. Returns whether it is accepted. */
+    bool accepts(const std::string &job, std::vector<wire::step_record> steps, int repeatCount = 0)
+    {
+        submit(job, std::move(steps), repeatCount);
+        return m_cluster.state.findJob(job) != nullptr;
+    }
+
     /** Lets everything that was accepted finish. */
     void drain(duration length)
     {
@@ -82,11 +112,14 @@
     }
 
 private:
-    void submit(const std::string &job, wire::step_record step)
+    void submit(const std::string &job, std::vector<wire::step_record> steps, int repeatCount = 0)
     {
         wire::work_record work;
         work.queue = "queue";
-        work.steps.push_back(std::move(step));
+        work.steps = std::move(steps);
+        work.repeatCount = repeatCount;
+        work.startAtMilliseconds = repeatCount > 0 ? m_cluster.wall().time_since_epoch().count() : 0;
+        work.intervalMilliseconds = repeatCount > 0 ? 1'000 : 0;
         m_calls[++m_token] = job;
         m_cluster.state.submit(m_token, job, work, m_cluster.wall());
     }
@@ -108,7 +141,7 @@
         if (!m_batch) {
             if (const auto batch = m_cluster.state.takeBatch()) {
                 m_batch = batch->number;
-                m_confirmAt = m_cluster.now + 30ms;
+                m_confirmAt = m_cluster.now + m_batchTime;
             }
         }
         for (scheduler_action &action : m_cluster.state.takeActions()) {
@@ -173,6 +206,7 @@
 
     manual_cluster m_cluster;
     double m_jobsPerTurn;
+    duration m_batchTime = 30ms;
     double m_due = 0.0;
     int m_submitted = 0;
     int m_startedAfterRefusal = 0;
@@ -265,6 +299,86 @@
     CHECK(isAccepted("third"));
 }
 
+// Pattern: rounds of decisions every 10 ms, but journal batches of 400 ms, with free executors. Guards against accepting jobs whose starts wait for
+// batches until their slack is gone, and against refusals that outlast the slow batches.
+TEST_CASE("slow batches refuse jobs whose starts would use up their slack, although rounds are frequent")
+{
+    overload_run load(0.2);
+    load.run(2s);
+    CHECK(load.accepts("before", makeChain(4)));
+    load.setBatchTime(400ms);
+    load.run(3s);
+    // Each start waits for its own batch and half of the one in flight, 600 ms. Four of them exceed the slack of 1.4 s.
+    CHECK_FALSE(load.accepts("slack of 1.4 s, four starts", makeChain(4)));
+    CHECK(load.accepts("slack of 1.4 s, one start", makeChain(1, 400)));
+    CHECK(load.accepts("slack of 5 s, four starts", makeChain(4, 1'000)));
+    CHECK(load.accepts("timed", makeChain(4), 1));
+    load.setBatchTime(20ms);
+    load.run(2s);
+    CHECK(load.accepts("after", makeChain(4)));
+    load.drain(5s);
+
+    CHECK(load.accepted() == 0); // every accepted job is completed
+    REQUIRE(load.retryDelays().size() == 1); // the load itself, jobs of one step with a slack of 1.5 s, is never refused
+    CHECK(load.retryDelays().front() >= 500);
+}
+
+// Pattern: batches of 400 ms, and then nothing to start. Guards against a delay that only starts update and that refuses jobs for ever.
+TEST_CASE("the delay of starts is forgotten when nothing is started")
+{
+    overload_run load(0.2);
+    load.setBatchTime(400ms);
+    load.run(3s);
+    CHECK_FALSE(load.accepts("busy", makeChain(4)));
+    load.drain(3s);
+    CHECK(load.accepts("idle", makeChain(4)));
+}
+
+// Pattern: the journal confirms nothing for 2 s. Guards against accepting jobs until the late batch has been measured, and against refusals once batches are
+// fast again.
+TEST_CASE("a batch that is late refuses jobs whose slack it has used up")
+{
+    overload_run load(0.2);
+    load.run(2s);
+    load.setBatchTime(2s);
+    load.run(1'500ms);
+    CHECK_FALSE(load.accepts("slack of 1.1 s", makeChain(1)));
+    CHECK(load.accepts("slack of 4 s", makeChain(1, 3'000)));
+    load.setBatchTime(20ms);
+    load.run(1s); // until half a second after the late batch
+    CHECK(load.accepts("after", makeChain(4)));
+    load.drain(8s);
+    CHECK(load.accepted() == 0); // every accepted job is completed
+}
+
+// Pattern: batches of 20 ms and jobs of many steps. Guards against refusals by a calm leader.
+TEST_CASE("fast batches refuse nothing")
+{
+    overload_run load(0.5);
+    load.setBatchTime(20ms);
+    for (int job = 0; job < 20; ++job) {
+        load.run(100ms);
+        CHECK(load.accepts("chain-" + std::to_string(job), makeChain(12, 10)));
+    }
+    load.drain(10s);
+    CHECK(load.retryDelays().empty());
+    CHECK(load.accepted() == 0); // every accepted job is completed
+}
+
+// Guards against counting the starts of a chain that is not the longest, and of steps that run beside each other.
+TEST_CASE("the starts in sequence are those of the longest chain")
+{
+    wire::work_record work;
+    work.steps = makeChain(3, 10);
+    CHECK(countStartsInSequence(work) == 3);
+    wire::step_record lone = work.steps.front();
+    lone.estimateMilliseconds = 30;
+    work.steps.push_back(lone);
+    CHECK(countStartsInSequence(work) == 3);
+    work.steps.back().estimateMilliseconds = 31;
+    CHECK(countStartsInSequence(work) == 1);
+}
+
 // Guards against demand that is off by the factor by which all declared run times of a queue are off.
 TEST_CASE("the ratio of measured to declared run times is learned and bounded")
 {
