--- a/src/scheduler/job_records.cpp
+++ b/src/scheduler/job_records.cpp
@@ -1,6 +1,7 @@
 #include "scheduler/job_records.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace parsleyglade {
 
@@ -72,7 +73,10 @@
     std::int64_t milliseconds = 0;
     int steps = 0;
 
-    friend auto operator<=>(const step_chain &, const step_chain &) = default;
+    friend bool operator<(const step_chain &left, const step_chain &right)
+    {
+        return std::tie(left.milliseconds, left.steps) < std::tie(right.milliseconds, right.steps);
+    }
 };
 
 step_chain findLongestChain(const wire::work_record &work)
