--- a/idl/parsleyglade.thrift
+++ b/idl/parsleyglade.thrift
@@ -361,6 +361,7 @@
     2: string peerAddress          // of the asking entry host
     4: i32 leadingMillicores           // processor share of the asking entry host; 0 while it could not lead
     5: bool wantsConfiguration     // the answer is to have the operator's record, if it is newer
+    6: string dataCentre           // of the asking entry host
 }
 
 struct leader_status {
@@ -373,6 +374,82 @@
     7: i64 leadership              // fencing token of that leader
     8: optional binary configuration   // the operator's record, where it was asked for and the asker has an older version
     9: i64 configurationAgeMilliseconds   // since that version was last known to be the newest
+    10: bool storeRefuses          // the store has refused or not answered the leader's last appends; a successor that reaches it may take over
+    11: list<string> successors    // peer addresses of the entry hosts that keep a copy of the journal's state and take over first
+}
+
+// ---- orders of the leader that another entry host sends to executors on its behalf ----
+
+enum relay_order_kind {
+    start = 1
+    stop = 2
+    pace = 3
+    poll = 4
+}
+
+// One order. Fields that a kind does not use keep their default values.
+struct relay_order {
+    1: i64 number                  // identifies the order on its connection; its result carries the same
+    2: relay_order_kind kind
+    3: string executor
+    4: string address              // of the executor
+    5: i64 fence
+    6: string job
+    7: i32 occurrence
+    8: i32 step
+    9: i32 index
+    10: i32 run
+    11: i32 payload                // of a start: index in relay_orders.payloads
+    12: binary checkpoint          // of a start
+    13: string ticket              // of a start
+    14: i64 leaseEnd               // of a start, and of a poll that extends the lease; otherwise 0
+    15: i32 percent                // of a pace order
+    16: i64 acknowledgedUpTo       // of a poll
+    17: i32 waitMilliseconds       // of a poll
+}
+
+struct relay_orders {
+    1: i64 sentMicroseconds        // on the leader's steady clock
+    2: i64 validMilliseconds       // how long after that the orders may be sent to executors
+    3: list<binary> payloads       // tasks of one job share theirs
+    4: list<relay_order> orders
+}
+
+struct relay_running {
+    1: string job
+    2: i32 occurrence
+    3: i32 step
+    4: i32 index
+    5: i32 run
+    6: binary checkpoint
+    7: i32 progress
+    8: i64 measured
+}
+
+struct relay_finished {
+    1: i64 number
+    2: string job
+    3: i32 occurrence
+    4: i32 step
+    5: i32 index
+    6: i32 run
+    7: i32 runEnd                  // run_end
+    8: binary checkpoint
+}
+
+struct relay_result {
+    1: i64 number                  // of the order
+    2: i32 result                  // order_result
+    3: i64 clockMilliseconds
+    4: string reason
+    5: i64 boot                    // of a poll, as the fields below
+    6: list<relay_running> running
+    7: list<relay_finished> finished
+}
+
+struct relay_results {
+    1: list<relay_result> results
+    2: bool leaving                // the entry host shuts down and is to get no further orders
 }
 
 // One frame between entry hosts. Exactly one of the optional fields is set.
@@ -398,4 +475,6 @@
     19: optional work_reply workReply
     20: optional leader_probe probe
     21: optional leader_status probeReply
+    22: optional relay_orders relayOrders
+    23: optional relay_results relayResults
 }
