--- a/src/scheduler/executor_state.h
+++ b/src/scheduler/executor_state.h
@@ -40,11 +40,12 @@
     bool isEvacuating = false; /**< Gets no new work, because its host is to be maintained or moved to another pool. */
     bool isHostUp = true; /**< False once the host list has shown its host with another executor, or not up. */
     bool isSynchronised = false; /**< Has responded to a poll of this leader and therefore rejects orders of earlier leaders. */
+    time_point synchronisedAt{}; /**< When that response was received. */
     time_point clockReadAt{}; /**< Local time at which the executor clock was known to have reached clockMilliseconds. */
     std::int64_t clockMilliseconds = 0; /**< Last known reading of the executor's steady clock; 0 if unknown. */
     time_point leaseExpiry{}; /**< Local time after which every granted lease has expired, whatever the drift of the clock within the permitted range. */
     time_point lastGrantAt{}; /**< When an order with a lease on the clock of the known boot was last sent. */
-    time_point bootSeenAt{}; /**< The known boot has answered a poll that was sent at this time. */
+    time_point bootSeenAt{}; /**< When the last poll was sent that the known boot has answered with the list of its runs. */
     time_point lateGrantUntil{}; /**< An unanswered order with a lease may still be carried out until this time. */
     std::int64_t endApplied = 0; /**< Number of the last end that was applied to the state. */
     std::int64_t endRecorded = 0; /**< Number of the last end that is recorded in the journal. */
--- a/src/scheduler/job_records.cpp
+++ b/src/scheduler/job_records.cpp
@@ -206,6 +206,7 @@
             run.isConfirmed = entry.confirmed;
             job.hasBegun = job.hasBegun || entry.confirmed;
             run.phase = run_phase::restored;
+            run.isRestored = true;
             run.orderAge = std::chrono::milliseconds{entry.orderAgeMilliseconds};
         }
     }
--- a/src/scheduler/pool_planner.cpp
+++ b/src/scheduler/pool_planner.cpp
@@ -158,7 +158,9 @@
         const auto host = hosts.find(entry.first);
         const bool hasArrived = host != hosts.end() && host->second.pool == entry.second.pool && host->second.state == host_state::up;
         const bool hasExecutor = hasArrived && m_scheduler.findExecutor(host->second.executor) != nullptr;
-        const bool isOver = host == hosts.end() || hasExecutor || now > entry.second.plannedAt + m_settings.moveTimeout;
+        // Another executor on the host, for instance after a crash, may have runs, which an order that was planned for the earlier one would end.
+        const bool isReplaced = !entry.second.isOrdered && host != hosts.end() && host->second.executor != entry.second.executor;
+        const bool isOver = host == hosts.end() || hasExecutor || isReplaced || now > entry.second.plannedAt + m_settings.moveTimeout;
         if (isOver && !hasExecutor && host != hosts.end()) {
             m_scheduler.setEvacuating(host->second.executor, false);
         }
--- a/src/scheduler/scheduled_job.h
+++ b/src/scheduler/scheduled_job.h
@@ -24,6 +24,7 @@
     bool mayArriveLate = false; /**< A start order of this run got no response and may still be carried out. */
     time_point orderedAt{}; /**< When the last start order was sent. */
     duration orderAge{}; /**< For a restored run whose previous leader resigned: minimum time between its last start order and the resignation. */
+    bool isRestored = false; /**< Read from the journal: the previous leader may have ordered its stop. */
     bool isConfirmed = false; /**< The executor has confirmed the start, and no start order is in flight. */
     bool isListed = false; /**< A poll response of the boot has listed the run. A start is confirmed without naming the boot. */
     bool isOrderInFlight = false; /**< A start or stop order is in flight. */
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -133,10 +133,8 @@
     m_wallNow = wallNow;
     m_fence = fence;
     m_now = now;
+    m_leadingSince = now;
     m_orphanProgress.clear();
-    if (!m_jobs.empty()) {
-        m_evacuateFrom = now + m_settings.maximumStopTime;
-    }
 
     // The previous leader may have extended leases until its own leadership lease expired.
     const duration predecessorLeadership = hasResigned ? duration::zero() : m_settings.leadershipLease;
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -13,6 +13,7 @@
 #include "scheduler/scheduler_settings.h"
 #include "scheduler/service_demand.h"
 #include "scheduler/start_delay.h"
+#include "scheduler/step_availability.h"
 #include "scheduler/wake_queue.h"
 
 #include <limits>
@@ -124,7 +125,7 @@
         counts as up until a list that was requested after it was known. @param requestedAt when the list was requested */
     void setHostUp(const std::string &executor, bool isUp, time_point requestedAt);
 
-    /** Whether the executor certainly has no runs. */
+    /** Whether the executor certainly has no runs. False for an executor that has not answered a poll of this leader yet. */
     bool isEmpty(const std::string &executor) const;
 
     /** Returns the demand of the jobs of each service for its pool. Services without demand have no entry. */
@@ -290,8 +291,9 @@
 
     // evacuation
     void evacuate(executor_state &executor, time_point now);
-    bool isAvailable(const scheduled_task &task) const;
-    bool isDisruptionAllowed(scheduled_job &job, const task_id &taskId);
+    duration maximumListAge() const;
+    std::optional<duration> findListAge(const wire::step_record &step, const scheduled_task &task, time_point now) const;
+    step_availability availabilityOfOthers(scheduled_job &job, const task_id &taskId, time_point now) const;
     bool hasAlternativeExecutor(scheduled_job &job, const task_id &taskId, const executor_state &from, time_point now);
 
     // admission
@@ -372,8 +374,7 @@
     scheduler_counters m_counters;
     std::int64_t m_fence = 0;
     wall_time m_wallNow{};
-    time_point m_evacuateFrom{}; /**< Long-running tasks are not evacuated before: stops of the previous leader may still be taking effect on runs that are
-                                    listed as running. */
+    time_point m_leadingSince{};
 };
 
 /** Formats a task as JOB.OCCURRENCE.STEP.INDEX for logs. */
--- a/src/scheduler/scheduler_evacuation.cpp
+++ b/src/scheduler/scheduler_evacuation.cpp
@@ -9,6 +9,18 @@
 // Progress in percent that a long-running task reports once its start-up is complete.
 constexpr int startUpComplete = 100;
 
+std::int64_t toMilliseconds(duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+/** Describes what an eviction relied on. @param permitted how many tasks may be unavailable; negative for no limit */
+std::string describe(const step_availability &others, int permitted, duration leading)
+{
+    return "unavailable=" + std::to_string(others.unavailable) + " permitted=" + std::to_string(permitted)
+        + " list-ms=" + std::to_string(toMilliseconds(others.oldestList)) + " leading-ms=" + std::to_string(toMilliseconds(leading));
+}
+
 } // namespace
 
 void scheduler::setEvacuating(const std::string &executor, bool isEvacuating)
@@ -35,14 +47,19 @@
 bool scheduler::isEmpty(const std::string &executor) const
 {
     const executor_state *state = findExecutor(executor);
-    return state == nullptr || state->runs.empty();
+    if (state == nullptr) {
+        return executor.empty() || m_isRegistryKnown;
+    }
+    const bool isSilent = state->failedContacts > 0 || !state->isListed; // its runs count until their lease has expired
+    return state->runs.empty() && (state->isSynchronised || isSilent);
 }
 
-/** Stops long-running tasks that may be unavailable and fit elsewhere, and tasks that keep their progress in a checkpoint. Other tasks run to
+/** Stops long-running tasks that fit elsewhere, and tasks that keep their progress in a checkpoint, as far as their step permits. Other tasks run to
     their end. */
 void scheduler::evacuate(executor_state &executor, time_point now)
 {
-    if (m_configuration.version == 0) {
+    const bool isJournalLate = m_isBatchUnconfirmed && now - m_batchTakenAt > m_settings.evictionBatchTimeout;
+    if (m_configuration.version == 0 || isJournalLate) {
         return; // nothing that is stopped could be started elsewhere
     }
     const std::vector<run_key> runs = executor.runs;
@@ -54,36 +71,61 @@
         scheduled_job &job = *findMutableJob(key.task.job);
         const wire::step_record &step = job.work.steps[static_cast<std::size_t>(key.task.step)];
         const bool keepsProgress = step.checkpointing && !step.gang && !job.task(key.task).checkpoint.empty();
-        const bool mayStop = step.longRunning
-            ? now >= m_evacuateFrom && isDisruptionAllowed(job, key.task) && hasAlternativeExecutor(job, key.task, executor, now)
-            : keepsProgress;
-        if (mayStop) {
-            addDecision("evict", key.task.job, toText(key.task), executor.description.id, "run=" + std::to_string(key.run));
+        if (!step.longRunning && !keepsProgress) {
+            continue;
+        }
+        const bool isLimited = step.maximumAway >= 0;
+        const step_availability others = isLimited ? availabilityOfOthers(job, key.task, now) : step_availability{};
+        const bool isPermitted = !isLimited || others.unavailable < step.maximumAway;
+        if (isPermitted && (!step.longRunning || hasAlternativeExecutor(job, key.task, executor, now))) {
+            addDecision("evict", key.task.job, toText(key.task), executor.description.id,
+                        "run=" + std::to_string(key.run) + ' ' + describe(others, step.maximumAway, now - m_leadingSince));
             stopRun(*run, now);
         }
     }
 }
 
-/** Whether the task has completed its start-up on an executor that responds to polls and whose host is up. On another one it may have died. */
-bool scheduler::isAvailable(const scheduled_task &task) const
+/** Returns how old a list of runs may be that shows a task at work: in normal operation, the time from a poll to the response to the next one. */
+duration scheduler::maximumListAge() const
 {
-    return std::any_of(task.runs.begin(), task.runs.end(), [this](const scheduled_run &run) {
+    return 2 * (m_settings.pollWait + pollSpacing()) + m_settings.listDelay;
+}
+
+/** Returns the age of the list of runs that shows the task at work, its start-up complete; nothing if it may be unavailable. It may be on an executor that
+    does not respond, or whose host is not up. A list that is too old, or that was made before the stop orders of the previous leader have taken effect,
+    shows nothing: the executor rejects these orders only from its first response to this leader on. */
+std::optional<duration> scheduler::findListAge(const wire::step_record &step, const scheduled_task &task, time_point now) const
+{
+    for (const scheduled_run &run : task.runs) {
         const executor_state *executor = findExecutor(run.executor);
-        return run.phase == run_phase::running && run.progress >= startUpComplete && executor != nullptr && executor->isHostUp && executor->failedContacts == 0;
-    });
+        const bool isAtWork = run.phase == run_phase::running && (!step.longRunning || run.progress >= startUpComplete);
+        if (!isAtWork || executor == nullptr || !executor->isHostUp || executor->failedContacts > 0) {
+            continue;
+        }
+        const duration age = now - executor->bootSeenAt;
+        const bool mayBeStopping = run.isRestored && executor->bootSeenAt < executor->synchronisedAt + m_settings.maximumStopTime;
+        if (age <= maximumListAge() && !mayBeStopping) {
+            return age;
+        }
+    }
+    return std::nullopt;
 }
 
-/** Whether stopping the task keeps its step within its permitted number of unavailable tasks; a negative number means no limit. */
-bool scheduler::isDisruptionAllowed(scheduled_job &job, const task_id &taskId)
+/** Returns how many of the other tasks of the task's step are unavailable. */
+step_availability scheduler::availabilityOfOthers(scheduled_job &job, const task_id &taskId, time_point now) const
 {
     const wire::step_record &step = job.work.steps[static_cast<std::size_t>(taskId.step)];
-    if (step.maximumAway < 0) {
-        return true;
-    }
-    const auto &tasks = job.occurrences[static_cast<std::size_t>(taskId.occurrence)].steps[static_cast<std::size_t>(taskId.step)].tasks;
     const scheduled_task *own = &job.task(taskId);
-    const auto unavailable = std::count_if(tasks.begin(), tasks.end(), [&, this](const scheduled_task &task) { return &task != own && !isAvailable(task); });
-    return unavailable < step.maximumAway;
+    step_availability others;
+    for (const scheduled_task &task : job.occurrences[static_cast<std::size_t>(taskId.occurrence)].steps[static_cast<std::size_t>(taskId.step)].tasks) {
+        if (&task == own || task.done) {
+            continue;
+        }
+        const std::optional<duration> age = findListAge(step, task, now);
+        others.unavailable += age ? 0 : 1;
+        others.oldestList = std::max(others.oldestList, age.value_or(duration::zero()));
+    }
+    return others;
 }
 
 bool scheduler::hasAlternativeExecutor(scheduled_job &job, const task_id &taskId, const executor_state &from, time_point now)
--- a/src/scheduler/scheduler_polls.cpp
+++ b/src/scheduler/scheduler_polls.cpp
@@ -131,7 +131,10 @@
     updateClock(executor, response.clockMilliseconds, now);
     executor.endAcknowledged = std::max(executor.endAcknowledged, executor.pollAcknowledges);
     reconcile(executor, response, sentAt, now);
-    executor.isSynchronised = true;
+    if (!executor.isSynchronised) {
+        executor.isSynchronised = true;
+        executor.synchronisedAt = now;
+    }
 
     // The executor would respond immediately again with ends that are not recorded yet.
     executor.nextPoll = now + (executor.endApplied > executor.endRecorded ? m_settings.orderRetryDelay : pollSpacing());
--- a/src/scheduler/scheduler_settings.h
+++ b/src/scheduler/scheduler_settings.h
@@ -10,10 +10,13 @@
     duration lease = std::chrono::milliseconds{3000}; /**< Lease of the runs on an executor. Long enough to outlast a change of leader. */
     duration maximumLease = std::chrono::seconds{10}; /**< Executors shorten every longer lease to this. */
     duration pollWait = std::chrono::milliseconds{800}; /**< Long poll: how long an executor may delay its response. Less than a third of the lease. */
+    duration listDelay = std::chrono::milliseconds{700}; /**< How much longer than pollWait a response to a poll may take. */
     duration pollRetryDelay = std::chrono::milliseconds{300}; /**< Delay after a failed poll. */
     duration idlePollRetryDelay = std::chrono::seconds{1}; /**< The same for an executor without runs, whose silence endangers no task. */
     duration pollSpacing = std::chrono::milliseconds{30}; /**< Minimum time from a response to the next poll, so that one poll reports several ends. */
     duration pollSpacingPerExecutor = std::chrono::microseconds{60}; /**< Added to it for each executor, so that the rate of polls of the fleet is bounded. */
+    duration evictionBatchTimeout = std::chrono::milliseconds{700}; /**< With a batch unconfirmed for this long nothing is evicted: its next start could not
+                                                                         be recorded, and a successor may be taking over. */
     duration checkInterval = std::chrono::milliseconds{25}; /**< Between two checks of an executor with orders to repeat or runs to evacuate. */
     duration idleCheckInterval = std::chrono::milliseconds{200}; /**< Between two checks of the lease and progress on other executors. */
     duration orderRetryDelay = std::chrono::milliseconds{300}; /**< Delay before an order without a response is repeated. */
