--- a/tools/measure-scheduler/scheduler_run.cpp
+++ b/tools/measure-scheduler/scheduler_run.cpp
@@ -66,6 +66,14 @@
     double m_startedAt;
 };
 
+/** Names a job with as many characters as the names that entry hosts give: they don't fit into a string without an allocation. */
+std::string jobName(std::uint64_t number)
+{
+    constexpr std::size_t length = 16;
+    const std::string digits = std::to_string(number);
+    return std::string(length - digits.size(), '0') + digits;
+}
+
 std::string nameOf(const char *prefix, int number)
 {
     return prefix + std::to_string(number);
@@ -198,7 +206,7 @@
         step.after = {0};
         work.steps.push_back(step);
     }
-    const std::string job = "job-" + std::to_string(m_jobNumber++);
+    const std::string job = jobName(m_jobNumber++);
     if (!isLongRunning) {
         m_waitingJobs[job] = now;
         m_calls[m_jobNumber] = job;
