--- a/src/scheduler/executor_state.h
+++ b/src/scheduler/executor_state.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "core/time_types.h"
+#include "scheduler/attached_run.h"
 #include "scheduler/executor_description.h"
 #include "scheduler/resources.h"
-#include "scheduler/task_id.h"
+#include "scheduler/run_key.h"
 
 #include <cstdint>
 #include <optional>
@@ -13,15 +14,6 @@
 
 namespace parsleyglade {
 
-/** Identifies one run of one task. */
-struct run_key
-{
-    task_id task;
-    int run = 0;
-
-    friend auto operator<=>(const run_key &, const run_key &) = default;
-};
-
 /** A start order that got no response. A later boot of the executor may still carry it out until the order expires. */
 struct unanswered_start
 {
@@ -52,7 +44,7 @@
     std::int64_t endAcknowledged = 0; /**< Number of the last end that was acknowledged to the executor. */
     std::int64_t pollAcknowledges = 0; /**< The number that the poll in flight acknowledges. */
     resources used; /**< Reserved by all runs that are or may be alive. */
-    std::vector<run_key> runs;
+    std::vector<attached_run> runs;
     std::vector<unanswered_start> unansweredStarts;
     bool isPolling = false; /**< A poll is in flight. */
     bool isPollGrantingLease = false; /**< The poll in flight, or the last one, extends the lease. */
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -437,7 +437,7 @@
         const bool isOver = isFinal(job.state) && !job.changed && wallNow - job.finishedAt > retention;
         const bool hasRuns
             = isOver && std::any_of(m_executors.begin(), m_executors.end(), [&](const auto &executor) {
-                  return std::any_of(executor.second.runs.begin(), executor.second.runs.end(), [&](const run_key &key) { return key.task.job == job.id; });
+                  return std::any_of(executor.second.runs.begin(), executor.second.runs.end(), [&](const attached_run &key) { return key.job == &job; });
               });
         if (isOver && !hasRuns) {
             m_removedJobs.push_back(job.id);
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -221,6 +221,9 @@
     scheduled_job *findMutableJob(const std::string &id);
     scheduled_task *findTask(const task_id &taskId);
     scheduled_run *findRun(const run_key &key);
+    static scheduled_task *findTask(scheduled_job &job, const task_id &taskId);
+    static scheduled_run *findRun(scheduled_job &job, const run_key &key);
+    static scheduled_run *findRun(const attached_run &run);
     const queue_policy *findQueue(const std::string &queue) const;
     const queue_policy *queueOf(const scheduled_job &job) const;
     void respond(call_token token, wire::work_verdict::type verdict, std::string reason = {});
@@ -232,8 +235,9 @@
     void finish(scheduled_job &job, work_state state, wall_time now);
 
     // runs
-    void attachRun(executor_state &executor, const scheduled_job &job, const run_key &key);
+    void attachRun(executor_state &executor, scheduled_job &job, const run_key &key);
     void releaseRun(run_key key); // by value: callers pass elements of the list that it erases from
+    void releaseRun(scheduled_job &job, const run_key &key);
     void endRun(executor_state &executor, const finished_entry &entry, time_point now);
     void applyEnd(scheduled_job &job, const task_id &taskId, scheduled_task &task, const finished_entry &entry, executor_state &executor, time_point now);
     bool hasExhaustedAttempts(const scheduled_job &job, const task_id &taskId);
@@ -259,7 +263,7 @@
     void noteFailedContact(executor_state &executor, order_result result, time_point now);
     void reconcile(executor_state &executor, const poll_response &response, time_point sentAt, time_point now);
     void reconcileMissing(executor_state &executor, const run_key &key, scheduled_run &run, time_point sentAt, time_point now);
-    void reconcileRunning(executor_state &executor, const running_entry &entry, time_point sentAt, time_point now);
+    scheduled_run *reconcileRunning(executor_state &executor, const running_entry &entry, time_point sentAt, time_point now);
     void handleRejectedStart(const start_order &order, scheduled_run &run, const order_response &response, time_point now);
     void updateClock(executor_state &executor, std::int64_t clockMilliseconds, time_point now) const;
     std::int64_t grantLease(executor_state &executor, time_point now) const;
@@ -272,10 +276,10 @@
     order_target targetOf(const executor_state &executor) const;
     std::optional<poll_order> makePoll(executor_state &executor, time_point now);
     static bool needsPoll(const executor_state &executor);
-    bool needsPromptList(const executor_state &executor);
+    static bool needsPromptList(const executor_state &executor);
     duration pollSpacing() const;
     void checkExecutor(executor_state &executor, time_point now);
-    bool hasOrdersToRepeat(const executor_state &executor);
+    static bool hasOrdersToRepeat(const executor_state &executor);
     static bool isDroppable(const executor_state &executor);
     void dropExecutor(executor_state &executor);
 
@@ -326,8 +330,8 @@
     void compare(scheduled_job &job, executor_state &executor, const task_id &taskId, executor_choice &best);
     bool canRun(const executor_state &executor, const wire::step_record &step, const task_id &taskId) const;
     std::int64_t placementCost(scheduled_job &job, const task_id &taskId, const executor_state &executor);
-    int countServing(const executor_state &executor);
-    bool hasLongRunningTask(const executor_state &executor);
+    static int countServing(const executor_state &executor);
+    static bool hasLongRunningTask(const executor_state &executor);
     void planRun(scheduled_job &job, const task_id &taskId, executor_state &executor, int run, time_point now);
     bool isStepReady(const scheduled_job &job, int occurrence, int step, wall_time wallNow) const;
     void paceFillers(executor_state &executor, time_point now);
--- a/src/scheduler/scheduler_batches.cpp
+++ b/src/scheduler/scheduler_batches.cpp
@@ -113,10 +113,10 @@
     m_resigned = now;
     recordLeasesOfLostExecutors();
     for (const auto &[id, executor] : m_executors) {
-        for (const run_key &key : executor.runs) {
+        for (const attached_run &key : executor.runs) {
             const scheduled_run *run = findRun(key);
             if (run != nullptr && mayHaveStartInFlight(*run)) {
-                markChanged(*findMutableJob(key.task.job));
+                markChanged(*key.job);
             }
         }
     }
--- a/src/scheduler/scheduler_evacuation.cpp
+++ b/src/scheduler/scheduler_evacuation.cpp
@@ -62,13 +62,13 @@
     if (m_configuration.version == 0 || isJournalLate) {
         return; // nothing that is stopped could be started elsewhere
     }
-    const std::vector<run_key> runs = executor.runs;
-    for (const run_key &key : runs) {
+    const std::vector<attached_run> runs = executor.runs;
+    for (const attached_run &key : runs) {
         scheduled_run *run = findRun(key);
         if (run == nullptr || run->phase != run_phase::running) {
             continue;
         }
-        scheduled_job &job = *findMutableJob(key.task.job);
+        scheduled_job &job = *key.job;
         const wire::step_record &step = job.work.steps[static_cast<std::size_t>(key.task.step)];
         const bool keepsProgress = step.checkpointing && !step.gang && !job.task(key.task).checkpoint.empty();
         if (!step.longRunning && !keepsProgress) {
--- a/src/scheduler/scheduler_executors.cpp
+++ b/src/scheduler/scheduler_executors.cpp
@@ -59,8 +59,8 @@
     other run may have been started on the new boot, which accepts orders that were meant for the earlier one; its next list tells. */
 void scheduler::handleRunsOfEarlierBoot(executor_state &executor, time_point now)
 {
-    const std::vector<run_key> runs = executor.runs;
-    for (const run_key &key : runs) {
+    const std::vector<attached_run> runs = executor.runs;
+    for (const attached_run &key : runs) {
         scheduled_run *run = findRun(key);
         if (run == nullptr || !mayExistOnExecutor(run->phase)) {
             continue; // sendStart() releases a run that is still being recorded, because its boot no longer matches
@@ -80,7 +80,7 @@
         }
         addDecision("run-kept", key.task.job, toText(key.task), executor.description.id,
                     "run=" + std::to_string(key.run) + " phase=" + std::string(name(run->phase)) + " boot=" + std::to_string(run->boot));
-        markChanged(*findMutableJob(key.task.job));
+        markChanged(*key.job);
     }
 }
 
@@ -227,8 +227,8 @@
 
 void scheduler::handleLostRuns(executor_state &executor, run_loss loss, time_point now)
 {
-    const std::vector<run_key> runs = executor.runs;
-    for (const run_key &key : runs) {
+    const std::vector<attached_run> runs = executor.runs;
+    for (const attached_run &key : runs) {
         const scheduled_run *run = findRun(key);
         if (run == nullptr || !mayExistOnExecutor(run->phase)) {
             continue;
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -244,7 +244,7 @@
         }
     }
 
-    scheduled_run *run = findRun({order.task, order.run});
+    scheduled_run *run = findRun(run_key{order.task, order.run});
     if (run == nullptr || run->phase != run_phase::stopping) {
         return;
     }
@@ -280,7 +280,7 @@
 void scheduler::repeatOrders(executor_state &executor, time_point now)
 {
     blockLateStarts(executor, now);
-    for (const run_key &key : executor.runs) {
+    for (const attached_run &key : executor.runs) {
         scheduled_run *run = findRun(key);
         if (run == nullptr || run->isOrderInFlight) {
             continue;
@@ -298,9 +298,9 @@
 /** Stops runs that make no progress, and keeps new work from their executor for a while. */
 void scheduler::stopStalledRuns(executor_state &executor, time_point now)
 {
-    for (const run_key &key : executor.runs) {
+    for (const attached_run &key : executor.runs) {
         scheduled_run *run = findRun(key);
-        const bool isLongRunning = findMutableJob(key.task.job)->work.steps[static_cast<std::size_t>(key.task.step)].longRunning;
+        const bool isLongRunning = key.job->work.steps[static_cast<std::size_t>(key.task.step)].longRunning;
         if (run == nullptr || isLongRunning || run->phase != run_phase::running || executor.failedContacts > 0) {
             continue;
         }
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -298,18 +298,15 @@
 
 int scheduler::countServing(const executor_state &executor)
 {
-    return static_cast<int>(std::count_if(executor.runs.begin(), executor.runs.end(), [this](const run_key &key) {
-        const scheduled_job *job = findMutableJob(key.task.job);
-        return job != nullptr && job->work.steps[static_cast<std::size_t>(key.task.step)].targetMilliseconds > 0;
+    return static_cast<int>(std::count_if(executor.runs.begin(), executor.runs.end(), [](const attached_run &key) {
+        return key.job->work.steps[static_cast<std::size_t>(key.task.step)].targetMilliseconds > 0;
     }));
 }
 
 bool scheduler::hasLongRunningTask(const executor_state &executor)
 {
-    return std::any_of(executor.runs.begin(), executor.runs.end(), [this](const run_key &key) {
-        const scheduled_job *job = findMutableJob(key.task.job);
-        return job != nullptr && job->work.steps[static_cast<std::size_t>(key.task.step)].longRunning;
-    });
+    return std::any_of(executor.runs.begin(), executor.runs.end(),
+                       [](const attached_run &key) { return key.job->work.steps[static_cast<std::size_t>(key.task.step)].longRunning; });
 }
 
 std::int64_t scheduler::placementCost(scheduled_job &job, const task_id &taskId, const executor_state &executor)
@@ -363,16 +360,16 @@
 void scheduler::paceFillers(executor_state &executor, time_point now)
 {
     std::int64_t worstPercent = 0;
-    for (const run_key &key : executor.runs) {
+    for (const attached_run &key : executor.runs) {
         const scheduled_run *run = findRun(key);
-        const auto target = findMutableJob(key.task.job)->work.steps[static_cast<std::size_t>(key.task.step)].targetMilliseconds;
+        const auto target = key.job->work.steps[static_cast<std::size_t>(key.task.step)].targetMilliseconds;
         if (run != nullptr && run->phase == run_phase::running && target > 0) {
             worstPercent = std::max(worstPercent, run->measured * 100 / target);
         }
     }
-    for (const run_key &key : executor.runs) {
+    for (const attached_run &key : executor.runs) {
         scheduled_run *run = findRun(key);
-        const bool fills = findMutableJob(key.task.job)->work.steps[static_cast<std::size_t>(key.task.step)].fillsIdle;
+        const bool fills = key.job->work.steps[static_cast<std::size_t>(key.task.step)].fillsIdle;
         if (run == nullptr || !fills || run->phase != run_phase::running || now - run->pacedAt < m_settings.paceInterval) {
             continue;
         }
--- a/src/scheduler/scheduler_polls.cpp
+++ b/src/scheduler/scheduler_polls.cpp
@@ -72,8 +72,8 @@
 /** Whether the next list of the executor's runs decides something, so that the executor must not delay it until a run ends. */
 bool scheduler::needsPromptList(const executor_state &executor)
 {
-    return std::any_of(executor.runs.begin(), executor.runs.end(), [this](const run_key &key) {
-        const scheduled_run *run = findRun(key);
+    return std::any_of(executor.runs.begin(), executor.runs.end(), [](const attached_run &attached) {
+        const scheduled_run *run = findRun(attached);
         return run != nullptr && (run->phase == run_phase::restored || run->phase == run_phase::unanswered || run->phase == run_phase::stopped);
     });
 }
@@ -158,10 +158,16 @@
         endRun(executor, entry, now);
     }
 
-    const std::vector<run_key> known = executor.runs;
+    std::vector<attached_run> missing;
+    for (const attached_run &known : executor.runs) {
+        const bool isListed = std::any_of(response.running.begin(), response.running.end(),
+                                          [&](const running_entry &entry) { return entry.run == known.run && entry.task == known.task; });
+        if (!isListed) {
+            missing.push_back(known);
+        }
+    }
     for (const running_entry &entry : response.running) {
-        reconcileRunning(executor, entry, sentAt, now);
-        scheduled_run *run = findRun({entry.task, entry.run});
+        scheduled_run *run = reconcileRunning(executor, entry, sentAt, now);
         if (run != nullptr && run->executor == executor.description.id && response.boot == executor.description.boot) {
             run->isListed = true;
         }
@@ -169,28 +175,27 @@
     if (response.finished.size() >= maximumListedEnds) {
         return;
     }
-    for (const run_key &key : known) {
-        const bool isListed = std::any_of(response.running.begin(), response.running.end(),
-                                          [&](const running_entry &entry) { return entry.run == key.run && entry.task == key.task; });
-        scheduled_run *run = findRun(key);
-        if (!isListed && run != nullptr) {
+    for (const attached_run &key : missing) {
+        if (scheduled_run *run = findRun(key)) {
             reconcileMissing(executor, key, *run, sentAt, now);
         }
     }
 }
 
-void scheduler::reconcileRunning(executor_state &executor, const running_entry &entry, time_point sentAt, time_point now)
+/** Applies what the executor lists of a run, or stops the run if it is not to be there. Returns the run if it is known. */
+scheduled_run *scheduler::reconcileRunning(executor_state &executor, const running_entry &entry, time_point sentAt, time_point now)
 {
     const run_key key{entry.task, entry.run};
-    scheduled_run *run = findRun(key);
+    scheduled_job *known = findMutableJob(entry.task.job);
+    scheduled_run *run = known == nullptr ? nullptr : findRun(*known, key);
     if (run == nullptr || run->executor != executor.description.id || !mayExistOnExecutor(run->phase)) {
         delayTask(key, now + m_settings.maximumStopTime);
         addDecision("stop-stray", entry.task.job, toText(entry.task), executor.description.id, "run=" + std::to_string(entry.run));
         m_actions.emplace_back(stop_order{targetOf(executor), entry.task, entry.run});
-        return;
+        return run;
     }
 
-    scheduled_job &job = *findMutableJob(entry.task.job);
+    scheduled_job &job = *known;
     if (!entry.checkpoint.empty()) {
         job.task(entry.task).checkpoint = entry.checkpoint;
     }
@@ -216,6 +221,7 @@
             stopRun(*run, now);
         }
     }
+    return run;
 }
 
 void scheduler::reconcileMissing(executor_state &executor, const run_key &key, scheduled_run &run, time_point sentAt, time_point now)
--- a/src/scheduler/scheduler_runs.cpp
+++ b/src/scheduler/scheduler_runs.cpp
@@ -7,10 +7,15 @@
 scheduled_task *scheduler::findTask(const task_id &taskId)
 {
     scheduled_job *job = findMutableJob(taskId.job);
-    if (job == nullptr || taskId.occurrence < 0 || taskId.occurrence >= static_cast<int>(job->occurrences.size())) {
+    return job == nullptr ? nullptr : findTask(*job, taskId);
+}
+
+scheduled_task *scheduler::findTask(scheduled_job &job, const task_id &taskId)
+{
+    if (taskId.occurrence < 0 || taskId.occurrence >= static_cast<int>(job.occurrences.size())) {
         return nullptr;
     }
-    auto &steps = job->occurrences[static_cast<std::size_t>(taskId.occurrence)].steps;
+    auto &steps = job.occurrences[static_cast<std::size_t>(taskId.occurrence)].steps;
     if (taskId.step < 0 || taskId.step >= static_cast<int>(steps.size())) {
         return nullptr;
     }
@@ -20,7 +25,18 @@
 
 scheduled_run *scheduler::findRun(const run_key &key)
 {
-    scheduled_task *task = findTask(key.task);
+    scheduled_job *job = findMutableJob(key.task.job);
+    return job == nullptr ? nullptr : findRun(*job, key);
+}
+
+scheduled_run *scheduler::findRun(const attached_run &run)
+{
+    return findRun(*run.job, run);
+}
+
+scheduled_run *scheduler::findRun(scheduled_job &job, const run_key &key)
+{
+    scheduled_task *task = findTask(job, key.task);
     if (task == nullptr) {
         return nullptr;
     }
@@ -28,23 +44,32 @@
     return found == task->runs.end() ? nullptr : &*found;
 }
 
-void scheduler::attachRun(executor_state &executor, const scheduled_job &job, const run_key &key)
+void scheduler::attachRun(executor_state &executor, scheduled_job &job, const run_key &key)
 {
     executor.used += reservedBy(job.work.steps[static_cast<std::size_t>(key.task.step)]);
-    executor.runs.push_back(key);
+    executor.runs.push_back({key, &job});
     touch(executor);
 }
 
 void scheduler::releaseRun(run_key key)
 {
-    scheduled_run *run = findRun(key);
+    if (scheduled_job *job = findMutableJob(key.task.job)) {
+        releaseRun(*job, key);
+    }
+}
+
+/** @param key not an element of the executor's list, from which it is erased */
+void scheduler::releaseRun(scheduled_job &job, const run_key &key)
+{
+    scheduled_run *run = findRun(job, key);
     if (run == nullptr) {
         return;
     }
-
-    scheduled_job &job = *findMutableJob(key.task.job);
+    const auto isReleased = [&](const attached_run &candidate) {
+        return candidate.run == key.run && candidate.job == &job && candidate.task == key.task;
+    };
     const auto found = m_executors.find(run->executor);
-    if (found != m_executors.end() && std::erase(found->second.runs, key) > 0) {
+    if (found != m_executors.end() && std::erase_if(found->second.runs, isReleased) > 0) {
         found->second.used -= reservedBy(job.work.steps[static_cast<std::size_t>(key.task.step)]);
         touch(found->second);
     }
@@ -84,8 +109,8 @@
 
 bool scheduler::hasOrdersToRepeat(const executor_state &executor)
 {
-    const auto mustRepeat = [this](const run_key &key) {
-        const scheduled_run *run = findRun(key);
+    const auto mustRepeat = [](const attached_run &attached) {
+        const scheduled_run *run = findRun(attached);
         return run != nullptr && (run->phase == run_phase::stopping || run->phase == run_phase::unanswered);
     };
     const auto mustBlock = [](const unanswered_start &order) {
