--- a/src/scheduler/attached_run.h
+++ b/src/scheduler/attached_run.h
@@ -10,6 +10,7 @@
 struct attached_run : run_key
 {
     scheduled_job *job = nullptr; /**< The scheduler keeps a job while an executor has runs of it. */
+    bool isInList = false; /**< The list that is being compared with the runs of the executor has it. */
 };
 
 } // namespace parsleyglade
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -224,6 +224,7 @@
     static scheduled_task *findTask(scheduled_job &job, const task_id &taskId);
     static scheduled_run *findRun(scheduled_job &job, const run_key &key);
     static scheduled_run *findRun(const attached_run &run);
+    static attached_run *findAttached(executor_state &executor, const task_id &task, int run);
     const queue_policy *findQueue(const std::string &queue) const;
     const queue_policy *queueOf(const scheduled_job &job) const;
     void respond(call_token token, wire::work_verdict::type verdict, std::string reason = {});
@@ -262,8 +263,9 @@
     void repeatOrders(executor_state &executor, time_point now);
     void noteFailedContact(executor_state &executor, order_result result, time_point now);
     void reconcile(executor_state &executor, const poll_response &response, time_point sentAt, time_point now);
+    void stopStray(executor_state &executor, const running_entry &entry, time_point now);
     void reconcileMissing(executor_state &executor, const run_key &key, scheduled_run &run, time_point sentAt, time_point now);
-    scheduled_run *reconcileRunning(executor_state &executor, const running_entry &entry, time_point sentAt, time_point now);
+    void reconcileRunning(const attached_run &known, scheduled_run &run, const running_entry &entry, time_point sentAt, time_point now);
     void handleRejectedStart(const start_order &order, scheduled_run &run, const order_response &response, time_point now);
     void updateClock(executor_state &executor, std::int64_t clockMilliseconds, time_point now) const;
     std::int64_t grantLease(executor_state &executor, time_point now) const;
--- a/src/scheduler/scheduler_ends.cpp
+++ b/src/scheduler/scheduler_ends.cpp
@@ -15,22 +15,21 @@
     }
     executor.endApplied = entry.number;
 
-    const run_key key{entry.task, entry.run};
-    scheduled_job *known = findMutableJob(entry.task.job);
-    const scheduled_run *run = known == nullptr ? nullptr : findRun(*known, key);
-    if (run == nullptr || run->executor != executor.description.id) {
+    const attached_run *known = findAttached(executor, entry.task, entry.run);
+    const scheduled_run *run = known == nullptr ? nullptr : findRun(*known);
+    if (run == nullptr) {
         return;
     }
     addDecision("end", entry.task.job, toText(entry.task), executor.description.id,
                 "run=" + std::to_string(entry.run) + " end=" + std::string(name(entry.end)) + " number=" + std::to_string(entry.number));
-    scheduled_job &job = *known;
+    scheduled_job &job = *known->job;
     ++countersOf(job).ends.at(static_cast<std::size_t>(entry.end));
     const wire::step_record &step = job.work.steps[static_cast<std::size_t>(entry.task.step)];
     if (entry.end == run_end::done && !step.longRunning && run->phase == run_phase::running && run->startedAt != time_point{}) {
         const auto measured = std::chrono::duration_cast<std::chrono::milliseconds>(now - run->startedAt).count();
         m_runTimeRatios[job.work.queue].add(step.estimateMilliseconds, measured);
     }
-    releaseRun(job, key);
+    releaseRun(job, {entry.task, entry.run});
     applyEnd(job, entry.task, job.task(entry.task), entry, executor, now);
 }
 
--- a/src/scheduler/scheduler_polls.cpp
+++ b/src/scheduler/scheduler_polls.cpp
@@ -1,6 +1,7 @@
 #include "scheduler/scheduler.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace parsleyglade {
 
@@ -158,23 +159,27 @@
         endRun(executor, entry, now);
     }
 
-    std::vector<attached_run> missing;
-    for (const attached_run &known : executor.runs) {
-        const bool isListed = std::any_of(response.running.begin(), response.running.end(),
-                                          [&](const running_entry &entry) { return entry.run == known.run && entry.task == known.task; });
-        if (!isListed) {
-            missing.push_back(known);
-        }
+    for (attached_run &known : executor.runs) {
+        known.isInList = false;
     }
     for (const running_entry &entry : response.running) {
-        scheduled_run *run = reconcileRunning(executor, entry, sentAt, now);
-        if (run != nullptr && run->executor == executor.description.id && response.boot == executor.description.boot) {
-            run->isListed = true;
+        attached_run *known = findAttached(executor, entry.task, entry.run);
+        scheduled_run *run = known == nullptr ? nullptr : findRun(*known);
+        if (run == nullptr || !mayExistOnExecutor(run->phase)) {
+            stopStray(executor, entry, now);
+        } else {
+            reconcileRunning(*known, *run, entry, sentAt, now);
+        }
+        if (run != nullptr) {
+            known->isInList = true;
+            run->isListed = run->isListed || response.boot == executor.description.boot;
         }
     }
     if (response.finished.size() >= maximumListedEnds) {
         return;
     }
+    std::vector<attached_run> missing; // a copy, since runs may be released
+    std::copy_if(executor.runs.begin(), executor.runs.end(), std::back_inserter(missing), [](const attached_run &known) { return !known.isInList; });
     for (const attached_run &key : missing) {
         if (scheduled_run *run = findRun(key)) {
             reconcileMissing(executor, key, *run, sentAt, now);
@@ -182,46 +187,42 @@
     }
 }
 
-/** Applies what the executor lists of a run, or stops the run if it is not to be there. Returns the run if it is known. */
-scheduled_run *scheduler::reconcileRunning(executor_state &executor, const running_entry &entry, time_point sentAt, time_point now)
+/** Stops a run that is not to be on the executor. */
+void scheduler::stopStray(executor_state &executor, const running_entry &entry, time_point now)
 {
-    const run_key key{entry.task, entry.run};
-    scheduled_job *known = findMutableJob(entry.task.job);
-    scheduled_run *run = known == nullptr ? nullptr : findRun(*known, key);
-    if (run == nullptr || run->executor != executor.description.id || !mayExistOnExecutor(run->phase)) {
-        delayTask(key, now + m_settings.maximumStopTime);
-        addDecision("stop-stray", entry.task.job, toText(entry.task), executor.description.id, "run=" + std::to_string(entry.run));
-        m_actions.emplace_back(stop_order{targetOf(executor), entry.task, entry.run});
-        return run;
-    }
+    delayTask({entry.task, entry.run}, now + m_settings.maximumStopTime);
+    addDecision("stop-stray", entry.task.job, toText(entry.task), executor.description.id, "run=" + std::to_string(entry.run));
+    m_actions.emplace_back(stop_order{targetOf(executor), entry.task, entry.run});
+}
 
-    scheduled_job &job = *known;
+void scheduler::reconcileRunning(const attached_run &known, scheduled_run &run, const running_entry &entry, time_point sentAt, time_point now)
+{
+    scheduled_job &job = *known.job;
     if (!entry.checkpoint.empty()) {
         job.task(entry.task).checkpoint = entry.checkpoint;
     }
-    run->measured = entry.measured;
-    if (entry.progress > run->progress) {
-        run->progress = entry.progress;
-        run->progressAt = now;
+    run.measured = entry.measured;
+    if (entry.progress > run.progress) {
+        run.progress = entry.progress;
+        run.progressAt = now;
     }
-    if (run->phase == run_phase::ordered || run->phase == run_phase::unanswered || run->phase == run_phase::restored) {
-        if (run->phase == run_phase::restored) {
-            run->startedAt = now;
+    if (run.phase == run_phase::ordered || run.phase == run_phase::unanswered || run.phase == run_phase::restored) {
+        if (run.phase == run_phase::restored) {
+            run.startedAt = now;
         } else {
-            run->startedAt = run->phaseStartedAt;
+            run.startedAt = run.phaseStartedAt;
         }
-        run->phase = run_phase::running;
-        run->phaseStartedAt = sentAt;
-        run->isOrderInFlight = false;
-        confirmRun(job, entry.task, *run);
+        run.phase = run_phase::running;
+        run.phaseStartedAt = sentAt;
+        run.isOrderInFlight = false;
+        confirmRun(job, entry.task, run);
         if (job.state == work_state::queued) {
             job.state = work_state::running;
         }
         if (isFinal(job.state) || job.task(entry.task).done) {
-            stopRun(*run, now);
+            stopRun(run, now);
         }
     }
-    return run;
 }
 
 void scheduler::reconcileMissing(executor_state &executor, const run_key &key, scheduled_run &run, time_point sentAt, time_point now)
--- a/src/scheduler/scheduler_runs.cpp
+++ b/src/scheduler/scheduler_runs.cpp
@@ -34,6 +34,13 @@
     return findRun(*run.job, run);
 }
 
+attached_run *scheduler::findAttached(executor_state &executor, const task_id &task, int run)
+{
+    const auto found = std::find_if(executor.runs.begin(), executor.runs.end(),
+                                    [&](const attached_run &candidate) { return candidate.run == run && candidate.task == task; });
+    return found == executor.runs.end() ? nullptr : &*found;
+}
+
 scheduled_run *scheduler::findRun(scheduled_job &job, const run_key &key)
 {
     scheduled_task *task = findTask(job, key.task);
@@ -47,7 +54,7 @@
 void scheduler::attachRun(executor_state &executor, scheduled_job &job, const run_key &key)
 {
     executor.used += reservedBy(job.work.steps[static_cast<std::size_t>(key.task.step)]);
-    executor.runs.push_back({key, &job});
+    executor.runs.push_back({key, &job, false});
     touch(executor);
 }
 
--- a/src/scheduler/task_id.h
+++ b/src/scheduler/task_id.h
@@ -14,6 +14,12 @@
     int index = 0; /**< Within the step. */
 
     friend auto operator<=>(const task_id &, const task_id &) = default;
+
+    /** Compares the numbers first, since the tasks of one job have the same text. */
+    friend bool operator==(const task_id &left, const task_id &right)
+    {
+        return left.index == right.index && left.step == right.step && left.occurrence == right.occurrence && left.job == right.job;
+    }
 };
 
 } // namespace parsleyglade
--- a/tests/scheduler/burst_work_test.cpp
+++ b/tests/scheduler/burst_work_test.cpp
@@ -1,3 +1,5 @@
+#include "allocation_counter.h"
+#include "manual_cluster.h"
 #include "scheduler_run.h"
 
 #include <catch2/catch.hpp>
@@ -67,3 +69,37 @@
     CHECK(report.unfinishedJobs == 0);
     CHECK(report.completedJobs == report.acceptedJobs);
 }
+
+// Guards against work for each run of an executor in a poll response that changes none of them, which is the usual one: the keys of the runs were copied, and
+// each run was looked up by the name of its job.
+TEST_CASE("a list that changes no run allocates nothing")
+{
+    manual_cluster cluster;
+    cluster.addExecutor("a");
+    wire::step_record step;
+    step.taskCount = 6;
+    step.demand.cpuMillicores = 1'000;
+    step.estimateMilliseconds = 60'000;
+    step.maximumAway = -1;
+    cluster.submit("a-job-with-a-long-name", {step});
+    cluster.settle();
+    REQUIRE(cluster.state.findExecutor("a")->runs.size() == 6);
+
+    const std::string executor = "a";
+    std::uint64_t allocations = 0;
+    for (int poll = 0; poll < 3; ++poll) {
+        cluster.now += 100ms;
+        REQUIRE(cluster.state.takePoll(executor, cluster.now));
+        poll_response response;
+        response.result = order_result::done;
+        response.boot = 1;
+        response.clockMilliseconds = cluster.clock();
+        for (const run_key &key : cluster.state.findExecutor(executor)->runs) {
+            response.running.push_back({key.task, key.run, {}, 10, 0});
+        }
+        const std::uint64_t before = allocationCount();
+        cluster.state.handlePollResponse(executor, response, cluster.now, cluster.now);
+        allocations = allocationCount() - before;
+    }
+    CHECK(allocations == 0);
+}
