--- a/src/scheduler/executor_state.h
+++ b/src/scheduler/executor_state.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "core/time_types.h"
+#include "scheduler/attached_run.h"
 #include "scheduler/executor_description.h"
 #include "scheduler/resources.h"
-#include "scheduler/task_id.h"
+#include "scheduler/run_key.h"
 
 #include <cstdint>
 #include <optional>
@@ -13,15 +14,6 @@
 
 namespace parsleyglade {
 
-/** Identifies one run of one task. */
-struct run_key
-{
-    task_id task;
-    int run = 0;
-
-    friend auto operator<=>(const run_key &, const run_key &) = default;
-};
-
 /** A start order that got no response. A later boot of the executor may still carry it out until the order expires. */
 struct unanswered_start
 {
@@ -40,18 +32,19 @@
     bool isEvacuating = false; /**< Gets no new work, because its host is to be maintained or moved to another pool. */
     bool isHostUp = true; /**< False once the host list has shown its host with another executor, or not up. */
     bool isSynchronised = false; /**< Has responded to a poll of this leader and therefore rejects orders of earlier leaders. */
+    time_point synchronisedAt{}; /**< When that response was received. */
     time_point clockReadAt{}; /**< Local time at which the executor clock was known to have reached clockMilliseconds. */
     std::int64_t clockMilliseconds = 0; /**< Last known reading of the executor's steady clock; 0 if unknown. */
     time_point leaseExpiry{}; /**< Local time after which every granted lease has expired, whatever the drift of the clock within the permitted range. */
     time_point lastGrantAt{}; /**< When an order with a lease on the clock of the known boot was last sent. */
-    time_point bootSeenAt{}; /**< The known boot has answered a poll that was sent at this time. */
+    time_point bootSeenAt{}; /**< When the last poll was sent that the known boot has answered with the list of its runs. */
     time_point lateGrantUntil{}; /**< An unanswered order with a lease may still be carried out until this time. */
     std::int64_t endApplied = 0; /**< Number of the last end that was applied to the state. */
     std::int64_t endRecorded = 0; /**< Number of the last end that is recorded in the journal. */
     std::int64_t endAcknowledged = 0; /**< Number of the last end that was acknowledged to the executor. */
     std::int64_t pollAcknowledges = 0; /**< The number that the poll in flight acknowledges. */
     resources used; /**< Reserved by all runs that are or may be alive. */
-    std::vector<run_key> runs;
+    std::vector<attached_run> runs;
     std::vector<unanswered_start> unansweredStarts;
     bool isPolling = false; /**< A poll is in flight. */
     bool isPollGrantingLease = false; /**< The poll in flight, or the last one, extends the lease. */
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -133,10 +133,8 @@
     m_wallNow = wallNow;
     m_fence = fence;
     m_now = now;
+    m_leadingSince = now;
     m_orphanProgress.clear();
-    if (!m_jobs.empty()) {
-        m_evacuateFrom = now + m_settings.maximumStopTime;
-    }
 
     // The previous leader may have extended leases until its own leadership lease expired.
     const duration predecessorLeadership = hasResigned ? duration::zero() : m_settings.leadershipLease;
@@ -439,7 +437,7 @@
         const bool isOver = isFinal(job.state) && !job.changed && wallNow - job.finishedAt > retention;
         const bool hasRuns
             = isOver && std::any_of(m_executors.begin(), m_executors.end(), [&](const auto &executor) {
-                  return std::any_of(executor.second.runs.begin(), executor.second.runs.end(), [&](const run_key &key) { return key.task.job == job.id; });
+                  return std::any_of(executor.second.runs.begin(), executor.second.runs.end(), [&](const attached_run &key) { return key.job == &job; });
               });
         if (isOver && !hasRuns) {
             m_removedJobs.push_back(job.id);
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -13,6 +13,7 @@
 #include "scheduler/scheduler_settings.h"
 #include "scheduler/service_demand.h"
 #include "scheduler/start_delay.h"
+#include "scheduler/step_availability.h"
 #include "scheduler/wake_queue.h"
 
 #include <limits>
@@ -124,7 +125,7 @@
         counts as up until a list that was requested after it was known. @param requestedAt when the list was requested */
     void setHostUp(const std::string &executor, bool isUp, time_point requestedAt);
 
-    /** Whether the executor certainly has no runs. */
+    /** Whether the executor certainly has no runs. False for an executor that has not answered a poll of this leader yet. */
     bool isEmpty(const std::string &executor) const;
 
     /** Returns the demand of the jobs of each service for its pool. Services without demand have no entry. */
@@ -220,6 +221,10 @@
     scheduled_job *findMutableJob(const std::string &id);
     scheduled_task *findTask(const task_id &taskId);
     scheduled_run *findRun(const run_key &key);
+    static scheduled_task *findTask(scheduled_job &job, const task_id &taskId);
+    static scheduled_run *findRun(scheduled_job &job, const run_key &key);
+    static scheduled_run *findRun(const attached_run &run);
+    static attached_run *findAttached(executor_state &executor, const task_id &task, int run);
     const queue_policy *findQueue(const std::string &queue) const;
     const queue_policy *queueOf(const scheduled_job &job) const;
     void respond(call_token token, wire::work_verdict::type verdict, std::string reason = {});
@@ -231,8 +236,9 @@
     void finish(scheduled_job &job, work_state state, wall_time now);
 
     // runs
-    void attachRun(executor_state &executor, const scheduled_job &job, const run_key &key);
+    void attachRun(executor_state &executor, scheduled_job &job, const run_key &key);
     void releaseRun(run_key key); // by value: callers pass elements of the list that it erases from
+    void releaseRun(scheduled_job &job, const run_key &key);
     void endRun(executor_state &executor, const finished_entry &entry, time_point now);
     void applyEnd(scheduled_job &job, const task_id &taskId, scheduled_task &task, const finished_entry &entry, executor_state &executor, time_point now);
     bool hasExhaustedAttempts(const scheduled_job &job, const task_id &taskId);
@@ -257,8 +263,9 @@
     void repeatOrders(executor_state &executor, time_point now);
     void noteFailedContact(executor_state &executor, order_result result, time_point now);
     void reconcile(executor_state &executor, const poll_response &response, time_point sentAt, time_point now);
+    void stopStray(executor_state &executor, const running_entry &entry, time_point now);
     void reconcileMissing(executor_state &executor, const run_key &key, scheduled_run &run, time_point sentAt, time_point now);
-    void reconcileRunning(executor_state &executor, const running_entry &entry, time_point sentAt, time_point now);
+    void reconcileRunning(const attached_run &known, scheduled_run &run, const running_entry &entry, time_point sentAt, time_point now);
     void handleRejectedStart(const start_order &order, scheduled_run &run, const order_response &response, time_point now);
     void updateClock(executor_state &executor, std::int64_t clockMilliseconds, time_point now) const;
     std::int64_t grantLease(executor_state &executor, time_point now) const;
@@ -271,10 +278,10 @@
     order_target targetOf(const executor_state &executor) const;
     std::optional<poll_order> makePoll(executor_state &executor, time_point now);
     static bool needsPoll(const executor_state &executor);
-    bool needsPromptList(const executor_state &executor);
+    static bool needsPromptList(const executor_state &executor);
     duration pollSpacing() const;
     void checkExecutor(executor_state &executor, time_point now);
-    bool hasOrdersToRepeat(const executor_state &executor);
+    static bool hasOrdersToRepeat(const executor_state &executor);
     static bool isDroppable(const executor_state &executor);
     void dropExecutor(executor_state &executor);
 
@@ -290,8 +297,9 @@
 
     // evacuation
     void evacuate(executor_state &executor, time_point now);
-    bool isAvailable(const scheduled_task &task) const;
-    bool isDisruptionAllowed(scheduled_job &job, const task_id &taskId);
+    duration maximumListAge() const;
+    std::optional<duration> findListAge(const wire::step_record &step, const scheduled_task &task, time_point now) const;
+    step_availability availabilityOfOthers(scheduled_job &job, const task_id &taskId, time_point now) const;
     bool hasAlternativeExecutor(scheduled_job &job, const task_id &taskId, const executor_state &from, time_point now);
 
     // admission
@@ -324,8 +332,8 @@
     void compare(scheduled_job &job, executor_state &executor, const task_id &taskId, executor_choice &best);
     bool canRun(const executor_state &executor, const wire::step_record &step, const task_id &taskId) const;
     std::int64_t placementCost(scheduled_job &job, const task_id &taskId, const executor_state &executor);
-    int countServing(const executor_state &executor);
-    bool hasLongRunningTask(const executor_state &executor);
+    static int countServing(const executor_state &executor);
+    static bool hasLongRunningTask(const executor_state &executor);
     void planRun(scheduled_job &job, const task_id &taskId, executor_state &executor, int run, time_point now);
     bool isStepReady(const scheduled_job &job, int occurrence, int step, wall_time wallNow) const;
     void paceFillers(executor_state &executor, time_point now);
@@ -372,8 +380,7 @@
     scheduler_counters m_counters;
     std::int64_t m_fence = 0;
     wall_time m_wallNow{};
-    time_point m_evacuateFrom{}; /**< Long-running tasks are not evacuated before: stops of the previous leader may still be taking effect on runs that are
-                                    listed as running. */
+    time_point m_leadingSince{};
 };
 
 /** Formats a task as JOB.OCCURRENCE.STEP.INDEX for logs. */
