--- a/src/scheduler/pool_planner.cpp
+++ b/src/scheduler/pool_planner.cpp
@@ -124,6 +124,10 @@
             }
             continue;
         }
+        if (isExpected(host)) {
+            ++pool.hosts;
+            continue;
+        }
         const executor_state *executor = m_scheduler.findExecutor(host.executor);
         if (executor == nullptr || executor->description.draining || !executor->isListed || executor->failedContacts > 0) {
             continue;
@@ -141,6 +145,13 @@
     return pools;
 }
 
+/** Whether the host is up with an executor that this leader has not read from the registry yet. Without it a new leader would count no hosts in any pool. */
+bool pool_planner::isExpected(const host_description &host) const
+{
+    const executor_state *executor = m_scheduler.findExecutor(host.executor);
+    return !m_scheduler.isRegistryKnown() && !host.executor.empty() && (executor == nullptr || !executor->isListed);
+}
+
 int pool_planner::wantedHosts(const service_demand &demand, std::int64_t hostMillicores) const
 {
     if (hostMillicores == 0) {
--- a/src/scheduler/pool_planner.h
+++ b/src/scheduler/pool_planner.h
@@ -72,6 +72,7 @@
 
     std::map<std::string, pool_state> surveyPools(const std::map<std::string, host_description> &hosts,
                                                   const std::function<bool(const std::string &)> &isReserved, time_point now);
+    bool isExpected(const host_description &host) const;
     int wantedHosts(const service_demand &demand, std::int64_t hostMillicores) const;
     std::vector<host_order> orderRecordedMoves();
     void removeFinishedMoves(const std::map<std::string, host_description> &hosts, time_point now);
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -77,6 +77,7 @@
 
     /** Reports that all current entries of the registry have been passed. An executor without an entry is gone from then on. */
     void confirmRegistry();
+    bool isRegistryKnown() const;
 
     /** Calls from callers. Each gets one call_response with the token among the actions, at once or after the journal has confirmed a batch. */
     void submit(call_token token, const std::string &job, wire::work_record work, wall_time now);
--- a/src/scheduler/scheduler_executors.cpp
+++ b/src/scheduler/scheduler_executors.cpp
@@ -111,6 +111,11 @@
     m_isRegistryKnown = true;
 }
 
+bool scheduler::isRegistryKnown() const
+{
+    return m_isRegistryKnown;
+}
+
 /** Whether the registry has no entry of the executor, which has then left, or has been silent for three of its intervals. */
 bool scheduler::isGone(const executor_state &executor) const
 {
