--- a/src/scheduler/pool_planner.cpp
+++ b/src/scheduler/pool_planner.cpp
@@ -15,7 +15,7 @@
 {
     m_fence = fence;
     m_mayOrderFrom = now + m_settings.takeoverDelay;
-    m_knowsDemandFrom = now + m_settings.demandHistory;
+    m_knowsDemandFrom = m_scheduler.isDemandRestored() ? now : now + m_settings.demandHistory;
     m_recentlyOrderedHosts = m_scheduler.recentlyOrderedHosts();
 }
 
@@ -133,7 +133,7 @@
             continue;
         }
         ++pool.hosts;
-        if (executor->runs.empty() && !isWithinMinimumStay && !isAwaitingTakeoverDelay) {
+        if (executor->runs.empty() && executor->isSynchronised && !isWithinMinimumStay && !isAwaitingTakeoverDelay) {
             pool.idle.push_back(&host);
         }
     }
--- a/src/scheduler/pool_planner.h
+++ b/src/scheduler/pool_planner.h
@@ -15,7 +15,7 @@
 struct pool_planner_settings
 {
     duration takeoverDelay = std::chrono::milliseconds{3200}; /**< How long a new leader does not move hosts that have a recent order of its predecessor. */
-    duration demandHistory = std::chrono::seconds{2}; /**< How long a new leader takes no surplus hosts: it has to see the arrivals of every queue first. */
+    duration demandHistory = std::chrono::seconds{2}; /**< How long a new leader takes no surplus hosts if the journal does not tell what arrives. */
     double headroom = 1.3; /**< Capacity to provide per unit of arriving work. */
     duration backlogTime = std::chrono::milliseconds{1500}; /**< Time in which a pool should process its backlog. */
     duration moveTimeout = std::chrono::seconds{6}; /**< A move that the host list does not show after this time is treated as failed. */
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -174,6 +174,7 @@
         }
     }
     restoreLeases(now, hasResigned);
+    restoreArrivals(now, wallNow);
     for (auto &[id, executor] : m_executors) {
         touch(executor);
     }
@@ -181,6 +182,31 @@
     endExhaustedJobs();
 }
 
+/** Takes the last work that earlier leaders have accepted for the demand until this leader has seen arrivals itself. */
+void scheduler::restoreArrivals(time_point now, wall_time wallNow)
+{
+    for (const auto &[id, job] : m_jobs) {
+        m_restoredArrivals.add(job->work.queue, job->work.acceptedMilliseconds, declaredWork(job->work));
+    }
+    m_restoredArrivals.keepNewest(m_settings.arrivalWindow, now, wallNow);
+    m_isDemandRestored = !m_restoredArrivals.arrivals().empty();
+    addRestoredArrivals();
+}
+
+/** Adds the restored arrivals to the windows of their services, once a configuration names these. */
+void scheduler::addRestoredArrivals()
+{
+    if (m_configuration.version == 0) {
+        return;
+    }
+    for (const restored_arrivals::arrival &item : m_restoredArrivals.arrivals()) {
+        if (const queue_policy *queue = findQueue(item.queue)) {
+            m_arrivals.try_emplace(queue->service, m_settings.arrivalWindow).first->second.add(item.countsFrom, item.work);
+        }
+    }
+    m_restoredArrivals.clear();
+}
+
 void scheduler::setConfiguration(queue_configuration configuration)
 {
     m_queues.clear();
@@ -188,6 +214,7 @@
     for (const queue_policy &queue : m_configuration.queues) {
         m_queues.try_emplace(queue.name, &queue);
     }
+    addRestoredArrivals();
     endExhaustedJobs();
 }
 
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -6,6 +6,7 @@
 #include "scheduler/capacity_index.h"
 #include "scheduler/executor_state.h"
 #include "scheduler/queue_configuration.h"
+#include "scheduler/restored_arrivals.h"
 #include "scheduler/run_time_ratio.h"
 #include "scheduler/scheduled_job.h"
 #include "scheduler/scheduler_action.h"
@@ -131,6 +132,9 @@
     /** Returns the demand of the jobs of each service for its pool. Services without demand have no entry. */
     std::map<std::string, service_demand> demands(time_point now);
 
+    /** Whether the journal has told lead() what arrived last, so that demands() need not wait for the arrivals at this leader. */
+    bool isDemandRestored() const;
+
     /** Adds the record of an order for a host to the next batch. Returns the number of that batch; see confirmedBatch(). */
     std::uint64_t recordHost(wire::host_record record);
 
@@ -288,6 +292,8 @@
 
     void acknowledgeUnrecordedEnds();
     void addLeaseRecords(journal_batch &batch);
+    void restoreArrivals(time_point now, wall_time wallNow);
+    void addRestoredArrivals();
 
     // evacuation
     void evacuate(executor_state &executor, time_point now);
@@ -357,6 +363,8 @@
     start_delay m_startDelay; /**< From planRun() to sendStart(). */
     std::unordered_map<std::string, run_time_ratio> m_runTimeRatios; /**< By queue. */
     std::map<std::string, arrival_window> m_arrivals; /**< By service, in millicore-milliseconds. */
+    restored_arrivals m_restoredArrivals; /**< Not in m_arrivals yet, because their services are not known. */
+    bool m_isDemandRestored = false;
     time_point m_now{}; /**< Of the last lead() or decide(). */
     std::optional<time_point> m_resigned;
     std::map<std::string, std::string> m_hostRecords; /**< Encoded records of orders for hosts, by journal key. */
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -79,6 +79,11 @@
     return result;
 }
 
+bool scheduler::isDemandRestored() const
+{
+    return m_isDemandRestored;
+}
+
 /** Adds the demand of the job's long-running steps, and of the waiting tasks of its other steps. */
 void scheduler::addDemand(service_demand &demand, const scheduled_job &job) const
 {
--- a/tests/scheduler/planned_fleet.cpp
+++ b/tests/scheduler/planned_fleet.cpp
@@ -136,7 +136,7 @@
                 m_state->handleStartResponse(*start, {order_result::done, 1'000}, now, now);
             }
         }
-        for (const poll_order &poll : m_state->takePolls(now)) {
+        for (const poll_order &poll : doExecutorsRespond ? m_state->takePolls(now) : std::vector<poll_order>()) {
             poll_response response;
             response.result = order_result::done;
             response.boot = 1;
--- a/tests/scheduler/planned_fleet.h
+++ b/tests/scheduler/planned_fleet.h
@@ -55,6 +55,7 @@
     time_point now{std::chrono::seconds{100}};
     std::chrono::milliseconds wallOffset{}; /**< Difference of the leader's wall clock. */
     host_order_result orderResult = host_order_result::done;
+    bool doExecutorsRespond = true; /**< Whether executors respond to polls. */
     bool isOrderAnswered = true; /**< Whether the leader gets the results of its orders. */
     std::map<std::string, host_description> hosts;
 
