Count the wait before a host is ordered again from its last order (SHORT)

Cause: orders of two leaders for one host must be 3 s apart. A new leader moved no host with an order that was recorded in the last 15 s until 3.2 s after the takeover, whenever that order was given: the record has a wall-clock time, which may jump, and orders may be repeated without a new record.

Change: each leader keeps for each host when the last order can have been given, on its steady clock: the time of its result, or what it has taken over from its predecessor. A leader that resigns records the age (host_record, field 7), and its successor counts the 3.2 s from there. The age is 0, which stands for not certain, while an order is under way, and for 12.5 s after one without an answer. Without a certain age, and without a resignation, the wait counts from the takeover as before. The record of an age also renews the wall-clock time, so that a repeated order with an old record is no longer missed after a resignation. Maintenance still waits until 3.2 s after the takeover, which its cap needs.

Conclusion: after an orderly change of leader a burst gets its hosts with the first plan, unless they were ordered within the last 3.2 s. The time between resignation and takeover is not counted, since nobody measures it on one steady clock. After a crash the wait is as before.

--- a/idl/parsleyglade.thrift
+++ b/idl/parsleyglade.thrift
@@ -307,6 +307,7 @@
     4: bool done                   // the order has certainly been carried out
     5: i64 fence                   // of the leader that gave the order
     6: i64 orderedMilliseconds     // since the Unix epoch, on that leader's clock
+    7: i32 orderAgeMilliseconds    // of a leader that resigns: least time since the last order for the host, by any leader; 0 if that is not certain
 }
 
 struct lease_record {
--- a/src/control/control_settings.h
+++ b/src/control/control_settings.h
@@ -43,8 +43,7 @@
     duration hostDecisionInterval = std::chrono::milliseconds{25}; /**< Interval between rounds of decisions about hosts, for a small fleet. */
     duration hostDecisionIntervalPerHost = std::chrono::microseconds{50}; /**< Added to it for each host, since a round looks at all of them. */
     duration poolPlanInterval = std::chrono::milliseconds{100}; /**< Interval between plans of the pools. */
-    duration hostTakeoverDelay
-        = std::chrono::milliseconds{3200}; /**< Time before a new leader sends orders for hosts that may have a recent order of its predecessor. */
+    duration hostTakeoverDelay = std::chrono::milliseconds{3200}; /**< Minimum time between orders of different leaders for the same host. */
     duration hostOrderLeadershipLease = std::chrono::milliseconds{1200}; /**< Maximum time since the last confirmed append at which host orders are sent. */
     duration storeRetryDelay = std::chrono::milliseconds{100}; /**< Delay before a failed append or read is retried. */
     duration minimumDecisionInterval = std::chrono::milliseconds{4}; /**< Minimum time between rounds of decisions, for a small fleet. */
--- a/src/scheduler/pool_planner.cpp
+++ b/src/scheduler/pool_planner.cpp
@@ -14,9 +14,13 @@
 void pool_planner::lead(std::int64_t fence, time_point now)
 {
     m_fence = fence;
-    m_mayOrderFrom = now + m_settings.takeoverDelay;
     m_knowsDemandFrom = m_scheduler.isDemandRestored() ? now : now + m_settings.demandHistory;
-    m_recentlyOrderedHosts = m_scheduler.recentlyOrderedHosts();
+    for (const auto &[host, latest] : m_scheduler.latestHostOrders()) {
+        const duration wait = latest + m_settings.takeoverDelay - now;
+        if (wait > duration::zero()) {
+            m_mayOrderFrom[host] = now + wait;
+        }
+    }
 }
 
 std::vector<host_order> pool_planner::decide(const std::map<std::string, host_description> &hosts, const std::function<bool(const std::string &)> &isReserved,
@@ -33,7 +37,7 @@
     const std::size_t maximumMoves = std::max(m_settings.alwaysPermittedMoves, share);
 
     // Assign one host at a time to the pool with the largest relative shortage.
-    while (m_moves.size() < maximumMoves) {
+    while (true) {
         const auto shortage = [](const pool_state &pool) {
             return pool.isStandby || pool.wanted <= pool.hosts ? 0.0 : static_cast<double>(pool.wanted - pool.hosts) / pool.wanted;
         };
@@ -42,21 +46,25 @@
         if (neediest == pools.end() || shortage(neediest->second) <= 0.0) {
             return orders;
         }
-        const host_description *source = takeSourceHost(pools, neediest->first, now);
+        const host_description *source = m_moves.size() < maximumMoves ? takeSourceHost(pools, neediest->first, now) : nullptr;
         if (source == nullptr) {
             return orders;
         }
         ++neediest->second.hosts;
-        wire::host_record record;
-        record.host = source->name;
-        record.pool = neediest->first;
-        m_moves[source->name] = {neediest->first, source->executor, now, m_scheduler.recordHost(record), false};
-        m_scheduler.setEvacuating(source->executor, true);
-        m_scheduler.addHostDecision("move", source->name,
-                                    "from=" + source->pool + " to=" + neediest->first + " wanted=" + std::to_string(neediest->second.wanted)
-                                        + " hosts=" + std::to_string(neediest->second.hosts));
+        planMove(*source, neediest->first, neediest->second, now);
     }
-    return orders;
+}
+
+void pool_planner::planMove(const host_description &host, const std::string &target, const pool_state &targetState, time_point now)
+{
+    wire::host_record record;
+    record.host = host.name;
+    record.pool = target;
+    m_moves[host.name] = {target, host.executor, now, m_scheduler.recordHost(record), false};
+    m_scheduler.setEvacuating(host.executor, true);
+    m_scheduler.addHostDecision("move", host.name,
+                                "from=" + host.pool + " to=" + target + " wanted=" + std::to_string(targetState.wanted)
+                                    + " hosts=" + std::to_string(targetState.hosts));
 }
 
 bool pool_planner::isMoving(const std::string &host) const
@@ -70,6 +78,7 @@
     for (auto &[host, move] : m_moves) {
         if (!move.isOrdered && m_scheduler.confirmedBatch() >= move.recordedWith && m_scheduler.isEmpty(move.executor)) {
             move.isOrdered = true;
+            m_scheduler.noteHostOrder(host);
             orders.push_back({host, 0, move.pool, m_fence});
         }
     }
@@ -78,6 +87,7 @@
 
 void pool_planner::handleOrderResult(const host_order &order, host_order_result result, time_point now)
 {
+    m_scheduler.noteHostOrderResult(order.host, result == host_order_result::unanswered, now);
     m_scheduler.addHostDecision("move-answered", order.host, "pool=" + order.pool + " result=" + std::string(name(result)));
     const auto found = m_moves.find(order.host);
     if (found == m_moves.end()) {
@@ -112,14 +122,15 @@
         }
         pool_state &pool = pools[host.pool];
         pool.hostMillicores = std::max(pool.hostMillicores, host.capacity.cpuMillicores);
-        const bool isAwaitingTakeoverDelay = now < m_mayOrderFrom && m_recentlyOrderedHosts.contains(name);
+        const auto mayOrderFrom = m_mayOrderFrom.find(name);
+        const bool isHeld = mayOrderFrom != m_mayOrderFrom.end() && now < mayOrderFrom->second;
         if (host.state != host_state::up || isReserved(name)) {
             continue;
         }
         const auto arrived = m_arrivedAt.find(name);
         const bool isWithinMinimumStay = arrived != m_arrivedAt.end() && now < arrived->second + m_settings.minimumStay;
         if (pool.isStandby) {
-            if (!isAwaitingTakeoverDelay) {
+            if (!isHeld) {
                 pool.idle.push_back(&host);
             }
             continue;
@@ -133,7 +144,7 @@
             continue;
         }
         ++pool.hosts;
-        if (executor->runs.empty() && executor->isSynchronised && !isWithinMinimumStay && !isAwaitingTakeoverDelay) {
+        if (executor->runs.empty() && executor->isSynchronised && !isWithinMinimumStay && !isHeld) {
             pool.idle.push_back(&host);
         }
     }
--- a/src/scheduler/pool_planner.h
+++ b/src/scheduler/pool_planner.h
@@ -14,7 +14,7 @@
 /** Settings for moving hosts between pools. */
 struct pool_planner_settings
 {
-    duration takeoverDelay = std::chrono::milliseconds{3200}; /**< How long a new leader does not move hosts that have a recent order of its predecessor. */
+    duration takeoverDelay = std::chrono::milliseconds{3200}; /**< Minimum time between an order of an earlier leader for a host and a move by this one. */
     duration demandHistory = std::chrono::seconds{2}; /**< How long a new leader takes no surplus hosts if the journal does not tell what arrives. */
     double headroom = 1.3; /**< Capacity to provide per unit of arriving work. */
     duration backlogTime = std::chrono::milliseconds{1500}; /**< Time in which a pool should process its backlog. */
@@ -74,6 +74,7 @@
                                                   const std::function<bool(const std::string &)> &isReserved, time_point now);
     bool isExpected(const host_description &host) const;
     int wantedHosts(const service_demand &demand, std::int64_t hostMillicores) const;
+    void planMove(const host_description &host, const std::string &target, const pool_state &targetState, time_point now);
     std::vector<host_order> orderRecordedMoves();
     void removeFinishedMoves(const std::map<std::string, host_description> &hosts, time_point now);
     const host_description *takeSourceHost(std::map<std::string, pool_state> &pools, const std::string &target, time_point now);
@@ -81,9 +82,8 @@
     scheduler &m_scheduler;
     pool_planner_settings m_settings;
     std::int64_t m_fence = 0;
-    time_point m_mayOrderFrom{}; /**< Hosts in m_recentlyOrderedHosts are not moved before this time. */
+    std::map<std::string, time_point> m_mayOrderFrom; /**< Earliest time of a move, for hosts with a recent order of an earlier leader. */
     time_point m_knowsDemandFrom{}; /**< No surplus hosts are taken from pools before this time. */
-    std::set<std::string> m_recentlyOrderedHosts; /**< Hosts that may have a recent order of the previous leader. */
     std::map<std::string, move_state> m_moves;
     std::map<std::string, time_point> m_arrivedAt; /**< When a host last arrived in a pool, by host. */
     std::set<std::pair<std::string, std::string>> m_refused; /**< Pairs of host and pool where the pool does not accept the host. */
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -15,9 +15,6 @@
 constexpr char moveKeyPrefix = 'm';
 constexpr char leaseKeyPrefix = 'l';
 
-// An order for a host that was recorded longer ago than this is certainly finished, even if a clock has jumped by some seconds.
-constexpr std::chrono::milliseconds recentOrder{15'000};
-
 bool hasStarted(const scheduled_job &job)
 {
     for (const scheduled_occurrence &occurrence : job.occurrences) {
@@ -133,6 +130,7 @@
     m_wallNow = wallNow;
     m_fence = fence;
     m_now = now;
+    m_hasPredecessorResigned = hasResigned;
     m_orphanProgress.clear();
     if (!m_jobs.empty()) {
         m_evacuateFrom = now + m_settings.maximumStopTime;
@@ -175,6 +173,9 @@
     }
     restoreLeases(now, hasResigned);
     restoreArrivals(now, wallNow);
+    for (const auto &[host, latest] : latestHostOrders()) {
+        m_hostOrders.restore(host, latest);
+    }
     for (auto &[id, executor] : m_executors) {
         touch(executor);
     }
@@ -311,39 +312,11 @@
     return m_batch + 1;
 }
 
-std::vector<wire::host_record> scheduler::hostRecords() const
-{
-    std::vector<wire::host_record> records;
-    for (const auto &[key, value] : m_hostRecords) {
-        if (auto record = decode<wire::host_record>(value)) {
-            records.push_back(std::move(*record));
-        }
-    }
-    return records;
-}
-
-std::set<std::string> scheduler::recentlyOrderedHosts() const
-{
-    std::set<std::string> hosts;
-    for (const wire::host_record &record : hostRecords()) {
-        const wall_time ordered(std::chrono::milliseconds(record.orderedMilliseconds));
-        if (m_wallNow - ordered < recentOrder) {
-            hosts.insert(record.host);
-        }
-    }
-    return hosts;
-}
-
 std::uint64_t scheduler::confirmedBatch() const
 {
     return m_confirmedBatch;
 }
 
-void scheduler::addHostDecision(std::string decision, const std::string &host, std::string inputs)
-{
-    m_actions.emplace_back(decision_entry{std::move(decision), {}, {}, {}, host, std::move(inputs)});
-}
-
 std::vector<scheduler_action> scheduler::takeActions()
 {
     return std::exchange(m_actions, {});
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -5,6 +5,7 @@
 #include "scheduler/arrival_window.h"
 #include "scheduler/capacity_index.h"
 #include "scheduler/executor_state.h"
+#include "scheduler/host_order_history.h"
 #include "scheduler/queue_configuration.h"
 #include "scheduler/restored_arrivals.h"
 #include "scheduler/run_time_ratio.h"
@@ -141,8 +142,12 @@
     /** Returns the restored and newly written records of orders for hosts. */
     std::vector<wire::host_record> hostRecords() const;
 
-    /** Returns the hosts to which a previous leader may have recently sent an order. Meaningful only right after lead(). */
-    std::set<std::string> recentlyOrderedHosts() const;
+    /** Notes that an order for the host is about to be sent, and its result. @param mayArriveLate the order had no answer and may still be carried out */
+    void noteHostOrder(const std::string &host);
+    void noteHostOrderResult(const std::string &host, bool mayArriveLate, time_point now);
+
+    /** Returns when an earlier leader can last have sent an order, for each host with a recent one. Meaningful only right after lead(). */
+    std::map<std::string, time_point> latestHostOrders() const;
 
     /** Returns the number of the last batch that the journal has confirmed. */
     std::uint64_t confirmedBatch() const;
@@ -292,6 +297,7 @@
 
     void acknowledgeUnrecordedEnds();
     void addLeaseRecords(journal_batch &batch);
+    void recordHostOrderAges(time_point now);
     void restoreArrivals(time_point now, wall_time wallNow);
     void addRestoredArrivals();
 
@@ -369,6 +375,8 @@
     std::optional<time_point> m_resigned;
     std::map<std::string, std::string> m_hostRecords; /**< Encoded records of orders for hosts, by journal key. */
     std::vector<std::string> m_changedHostRecords;
+    host_order_history m_hostOrders;
+    bool m_hasPredecessorResigned = false;
     std::map<std::string, wire::lease_record> m_restoredLeases; /**< By executor, from the journal. */
     std::map<std::string, recorded_lease> m_leaseRecords; /**< By executor. */
     std::set<std::string> m_changedLeaseRecords;
--- a/src/scheduler/scheduler_batches.cpp
+++ b/src/scheduler/scheduler_batches.cpp
@@ -112,6 +112,7 @@
 {
     m_resigned = now;
     recordLeasesOfLostExecutors();
+    recordHostOrderAges(now);
     for (const auto &[id, executor] : m_executors) {
         for (const run_key &key : executor.runs) {
             const scheduled_run *run = findRun(key);
--- a/src/scheduler/wave_manager.cpp
+++ b/src/scheduler/wave_manager.cpp
@@ -70,6 +70,7 @@
 
 void wave_manager::handleOrderResult(const host_order &order, host_order_result result, time_point now)
 {
+    m_scheduler.noteHostOrderResult(order.host, result == host_order_result::unanswered, now);
     const auto found = m_maintenance.find(order.host);
     if (found == m_maintenance.end()) {
         return;
@@ -239,6 +240,7 @@
         maintenance.isOrderInFlight = true;
         maintenance.orderedAt = now;
         m_scheduler.addHostDecision("maintain", name, "wave=" + std::to_string(maintenance.wave) + " down=" + std::to_string(++down[maintenance.wave]));
+        m_scheduler.noteHostOrder(name);
         m_orders.push_back({name, maintenance.wave, {}, m_fence});
     }
 }
