--- a/src/control/host_task.cpp
+++ b/src/control/host_task.cpp
@@ -49,6 +49,9 @@
                  m_waves.hosts(), [this](const std::string &host) { return m_waves.needsHost(host); }, m_timers.now())) {
             sendOrder(order);
         }
+        if (const auto shortage = m_pools.takeShortageReport(m_timers.now())) {
+            m_log.notice("a pool lacks hosts " + *shortage);
+        }
     }
 }
 
--- a/src/scheduler/pool_planner.cpp
+++ b/src/scheduler/pool_planner.cpp
@@ -5,6 +5,17 @@
 
 namespace parsleyglade {
 
+namespace {
+
+constexpr duration shortageReportInterval = std::chrono::seconds{1};
+
+std::string toMilliseconds(duration time)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+} // namespace
+
 pool_planner::pool_planner(scheduler &scheduling, pool_planner_settings settings)
     : m_scheduler(scheduling)
     , m_settings(settings)
@@ -15,18 +26,24 @@
 {
     m_fence = fence;
     m_knowsDemandFrom = m_scheduler.isDemandRestored() ? now : now + m_settings.demandHistory;
+    duration longestWait{};
     for (const auto &[host, latest] : m_scheduler.latestHostOrders()) {
         const duration wait = latest + m_settings.takeoverDelay - now;
         if (wait > duration::zero()) {
             m_mayOrderFrom[host] = now + wait;
+            longestWait = std::max(longestWait, wait);
         }
     }
+    m_scheduler.addHostDecision("hosts-held", {},
+                                "hosts=" + std::to_string(m_mayOrderFrom.size()) + " longest-ms=" + toMilliseconds(longestWait)
+                                    + " demand-ms=" + toMilliseconds(m_knowsDemandFrom - now));
 }
 
 std::vector<host_order> pool_planner::decide(const std::map<std::string, host_description> &hosts, const std::function<bool(const std::string &)> &isReserved,
                                              time_point now)
 {
     removeFinishedMoves(hosts, now);
+    m_shortage.reset();
     std::vector<host_order> orders = orderRecordedMoves();
     if (m_scheduler.configuration().version == 0) {
         return orders; // neither the demand of the pools nor the standby pools are known
@@ -48,6 +65,7 @@
         }
         const host_description *source = m_moves.size() < maximumMoves ? takeSourceHost(pools, neediest->first, now) : nullptr;
         if (source == nullptr) {
+            noteShortage(pools, neediest->first, maximumMoves, now);
             return orders;
         }
         ++neediest->second.hosts;
@@ -130,7 +148,9 @@
         const auto arrived = m_arrivedAt.find(name);
         const bool isWithinMinimumStay = arrived != m_arrivedAt.end() && now < arrived->second + m_settings.minimumStay;
         if (pool.isStandby) {
-            if (!isHeld) {
+            if (isHeld) {
+                ++pool.held;
+            } else {
                 pool.idle.push_back(&host);
             }
             continue;
@@ -144,8 +164,12 @@
             continue;
         }
         ++pool.hosts;
-        if (executor->runs.empty() && executor->isSynchronised && !isWithinMinimumStay && !isHeld) {
-            pool.idle.push_back(&host);
+        if (executor->runs.empty() && executor->isSynchronised) {
+            pool.held += isHeld ? 1 : 0;
+            pool.staying += !isHeld && isWithinMinimumStay ? 1 : 0;
+            if (!isHeld && !isWithinMinimumStay) {
+                pool.idle.push_back(&host);
+            }
         }
     }
     const auto demands = m_scheduler.demands(now);
@@ -163,6 +187,36 @@
     return !m_scheduler.isRegistryKnown() && !host.executor.empty() && (executor == nullptr || !executor->isListed);
 }
 
+void pool_planner::noteShortage(const std::map<std::string, pool_state> &pools, const std::string &target, std::size_t maximumMoves, time_point now)
+{
+    int surplus = 0;
+    int held = 0;
+    int staying = 0;
+    std::size_t idle = 0;
+    for (const auto &[name, pool] : pools) {
+        if (name != target) {
+            surplus += std::max(pool.hosts - pool.wanted, 0);
+            held += pool.held;
+            staying += pool.staying;
+            idle += pool.idle.size();
+        }
+    }
+    const pool_state &pool = pools.at(target);
+    m_shortage = "wanted=" + std::to_string(pool.wanted) + " hosts=" + std::to_string(pool.hosts) + " moving=" + std::to_string(m_moves.size())
+        + " moving-limit=" + std::to_string(maximumMoves) + " elsewhere-surplus=" + std::to_string(surplus) + " elsewhere-idle=" + std::to_string(idle)
+        + " elsewhere-held=" + std::to_string(held) + " elsewhere-staying=" + std::to_string(staying)
+        + " demand-known=" + std::to_string(now >= m_knowsDemandFrom ? 1 : 0) + " pool=" + target;
+}
+
+std::optional<std::string> pool_planner::takeShortageReport(time_point now)
+{
+    if (!m_shortage || now < m_nextShortageReport) {
+        return std::nullopt;
+    }
+    m_nextShortageReport = now + shortageReportInterval;
+    return m_shortage;
+}
+
 int pool_planner::wantedHosts(const service_demand &demand, std::int64_t hostMillicores) const
 {
     if (hostMillicores == 0) {
--- a/src/scheduler/pool_planner.h
+++ b/src/scheduler/pool_planner.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -48,6 +49,9 @@
     /** Whether a move of the host is planned or under way. */
     bool isMoving(const std::string &host) const;
 
+    /** Returns why the pool with the largest shortage gets no more hosts, as key=value pairs, at most once a second; nothing if no pool lacks hosts. */
+    std::optional<std::string> takeShortageReport(time_point now);
+
     /** Reports the result of an order that decide() returned. */
     void handleOrderResult(const host_order &order, host_order_result result, time_point now);
 
@@ -68,11 +72,14 @@
         int wanted = 0; /**< Hosts that the demand requires. */
         std::int64_t hostMillicores = 0; /**< Processor capacity of one host. */
         std::vector<const host_description *> idle; /**< Hosts without runs that may be moved away. */
+        int held = 0; /**< Hosts without runs that have a recent order of an earlier leader. */
+        int staying = 0; /**< Hosts without runs that have arrived recently. */
     };
 
     std::map<std::string, pool_state> surveyPools(const std::map<std::string, host_description> &hosts,
                                                   const std::function<bool(const std::string &)> &isReserved, time_point now);
     bool isExpected(const host_description &host) const;
+    void noteShortage(const std::map<std::string, pool_state> &pools, const std::string &target, std::size_t maximumMoves, time_point now);
     int wantedHosts(const service_demand &demand, std::int64_t hostMillicores) const;
     void planMove(const host_description &host, const std::string &target, const pool_state &targetState, time_point now);
     std::vector<host_order> orderRecordedMoves();
@@ -86,6 +93,8 @@
     time_point m_knowsDemandFrom{}; /**< No surplus hosts are taken from pools before this time. */
     std::map<std::string, move_state> m_moves;
     std::map<std::string, time_point> m_arrivedAt; /**< When a host last arrived in a pool, by host. */
+    std::optional<std::string> m_shortage; /**< Found by the last decide(); @see takeShortageReport() */
+    time_point m_nextShortageReport{};
     std::set<std::pair<std::string, std::string>> m_refused; /**< Pairs of host and pool where the pool does not accept the host. */
 };
 
--- a/tests/scheduler/planned_fleet.cpp
+++ b/tests/scheduler/planned_fleet.cpp
@@ -41,6 +41,7 @@
 void planned_fleet::lead(bool hasPredecessorResigned, bool knowsRegistry)
 {
     m_planner.reset();
+    reports.clear();
     m_state = std::make_unique<scheduler>(scheduler_settings{});
     for (const auto &[key, value] : m_journal) {
         m_state->restore(key, value);
@@ -80,6 +81,9 @@
             moves.push_back({order.host, order.pool, now});
             carryOut(order);
         }
+        if (const auto report = m_planner->takeShortageReport(now)) {
+            reports.push_back(*report);
+        }
         now += planInterval;
     }
     return moves;
--- a/tests/scheduler/planned_fleet.h
+++ b/tests/scheduler/planned_fleet.h
@@ -58,6 +58,7 @@
     bool doExecutorsRespond = true; /**< Whether executors respond to polls. */
     bool isOrderAnswered = true; /**< Whether the leader gets the results of its orders. */
     std::map<std::string, host_description> hosts;
+    std::vector<std::string> reports; /**< Of this leader, about pools that lack hosts. */
 
 private:
     void settle();
--- a/tests/scheduler/takeover_moves_test.cpp
+++ b/tests/scheduler/takeover_moves_test.cpp
@@ -256,3 +256,18 @@
         CHECK((!fixture.orderedBefore(move) || move.orderedAt >= led + hostOrderLease));
     }
 }
+
+// Guards against a shortage of hosts whose cause the log does not show.
+TEST_CASE("a leader reports at most once a second why a pool gets no more hosts", "[pools]")
+{
+    moved_fleet fixture;
+    fixture.moveHosts();
+    fixture.resignAfter(1s);
+    fixture.fleet.lead(true);
+    fixture.burst(1s);
+    REQUIRE(fixture.fleet.reports.size() == 1);
+    INFO(fixture.fleet.reports.front());
+    CHECK(fixture.fleet.reports.front().find("elsewhere-held=" + std::to_string(fixture.moves.size()) + " ") != std::string::npos);
+    CHECK(fixture.fleet.reports.front().find("demand-known=1") != std::string::npos);
+    CHECK(fixture.fleet.reports.front().find("pool=busy") != std::string::npos);
+}
