--- a/src/scheduler/pool_planner.cpp
+++ b/src/scheduler/pool_planner.cpp
@@ -5,6 +5,17 @@
 
 namespace parsleyglade {
 
+namespace {
+
+constexpr duration shortageReportInterval = std::chrono::seconds{1};
+
+std::string toMilliseconds(duration time)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+} // namespace
+
 pool_planner::pool_planner(scheduler &scheduling, pool_planner_settings settings)
     : m_scheduler(scheduling)
     , m_settings(settings)
@@ -14,15 +25,25 @@
 void pool_planner::lead(std::int64_t fence, time_point now)
 {
     m_fence = fence;
-    m_mayOrderFrom = now + m_settings.takeoverDelay;
-    m_knowsDemandFrom = now + m_settings.demandHistory;
-    m_recentlyOrderedHosts = m_scheduler.recentlyOrderedHosts();
+    m_knowsDemandFrom = m_scheduler.isDemandRestored() ? now : now + m_settings.demandHistory;
+    duration longestWait{};
+    for (const auto &[host, latest] : m_scheduler.latestHostOrders()) {
+        const duration wait = latest + m_settings.takeoverDelay - now;
+        if (wait > duration::zero()) {
+            m_mayOrderFrom[host] = now + wait;
+            longestWait = std::max(longestWait, wait);
+        }
+    }
+    m_scheduler.addHostDecision("hosts-held", {},
+                                "hosts=" + std::to_string(m_mayOrderFrom.size()) + " longest-ms=" + toMilliseconds(longestWait)
+                                    + " demand-ms=" + toMilliseconds(m_knowsDemandFrom - now));
 }
 
 std::vector<host_order> pool_planner::decide(const std::map<std::string, host_description> &hosts, const std::function<bool(const std::string &)> &isReserved,
                                              time_point now)
 {
     removeFinishedMoves(hosts, now);
+    m_shortage.reset();
     std::vector<host_order> orders = orderRecordedMoves();
     if (m_scheduler.configuration().version == 0) {
         return orders; // neither the demand of the pools nor the standby pools are known
@@ -33,7 +54,7 @@
     const std::size_t maximumMoves = std::max(m_settings.alwaysPermittedMoves, share);
 
     // Assign one host at a time to the pool with the largest relative shortage.
-    while (m_moves.size() < maximumMoves) {
+    while (true) {
         const auto shortage = [](const pool_state &pool) {
             return pool.isStandby || pool.wanted <= pool.hosts ? 0.0 : static_cast<double>(pool.wanted - pool.hosts) / pool.wanted;
         };
@@ -42,21 +63,26 @@
         if (neediest == pools.end() || shortage(neediest->second) <= 0.0) {
             return orders;
         }
-        const host_description *source = takeSourceHost(pools, neediest->first, now);
+        const host_description *source = m_moves.size() < maximumMoves ? takeSourceHost(pools, neediest->first, now) : nullptr;
         if (source == nullptr) {
+            noteShortage(pools, neediest->first, maximumMoves, now);
             return orders;
         }
         ++neediest->second.hosts;
-        wire::host_record record;
-        record.host = source->name;
-        record.pool = neediest->first;
-        m_moves[source->name] = {neediest->first, source->executor, now, m_scheduler.recordHost(record), false};
-        m_scheduler.setEvacuating(source->executor, true);
-        m_scheduler.addHostDecision("move", source->name,
-                                    "from=" + source->pool + " to=" + neediest->first + " wanted=" + std::to_string(neediest->second.wanted)
-                                        + " hosts=" + std::to_string(neediest->second.hosts));
+        planMove(*source, neediest->first, neediest->second, now);
     }
-    return orders;
+}
+
+void pool_planner::planMove(const host_description &host, const std::string &target, const pool_state &targetState, time_point now)
+{
+    wire::host_record record;
+    record.host = host.name;
+    record.pool = target;
+    m_moves[host.name] = {target, host.executor, now, m_scheduler.recordHost(record), false};
+    m_scheduler.setEvacuating(host.executor, true);
+    m_scheduler.addHostDecision("move", host.name,
+                                "from=" + host.pool + " to=" + target + " wanted=" + std::to_string(targetState.wanted)
+                                    + " hosts=" + std::to_string(targetState.hosts));
 }
 
 bool pool_planner::isMoving(const std::string &host) const
@@ -70,6 +96,7 @@
     for (auto &[host, move] : m_moves) {
         if (!move.isOrdered && m_scheduler.confirmedBatch() >= move.recordedWith && m_scheduler.isEmpty(move.executor)) {
             move.isOrdered = true;
+            m_scheduler.noteHostOrder(host);
             orders.push_back({host, 0, move.pool, m_fence});
         }
     }
@@ -78,6 +105,7 @@
 
 void pool_planner::handleOrderResult(const host_order &order, host_order_result result, time_point now)
 {
+    m_scheduler.noteHostOrderResult(order.host, result == host_order_result::unanswered, now);
     m_scheduler.addHostDecision("move-answered", order.host, "pool=" + order.pool + " result=" + std::string(name(result)));
     const auto found = m_moves.find(order.host);
     if (found == m_moves.end()) {
@@ -112,25 +140,36 @@
         }
         pool_state &pool = pools[host.pool];
         pool.hostMillicores = std::max(pool.hostMillicores, host.capacity.cpuMillicores);
-        const bool isAwaitingTakeoverDelay = now < m_mayOrderFrom && m_recentlyOrderedHosts.contains(name);
+        const auto mayOrderFrom = m_mayOrderFrom.find(name);
+        const bool isHeld = mayOrderFrom != m_mayOrderFrom.end() && now < mayOrderFrom->second;
         if (host.state != host_state::up || isReserved(name)) {
             continue;
         }
         const auto arrived = m_arrivedAt.find(name);
         const bool isWithinMinimumStay = arrived != m_arrivedAt.end() && now < arrived->second + m_settings.minimumStay;
         if (pool.isStandby) {
-            if (!isAwaitingTakeoverDelay) {
+            if (isHeld) {
+                ++pool.held;
+            } else {
                 pool.idle.push_back(&host);
             }
             continue;
         }
+        if (isExpected(host)) {
+            ++pool.hosts;
+            continue;
+        }
         const executor_state *executor = m_scheduler.findExecutor(host.executor);
         if (executor == nullptr || executor->description.draining || !executor->isListed || executor->failedContacts > 0) {
             continue;
         }
         ++pool.hosts;
-        if (executor->runs.empty() && !isWithinMinimumStay && !isAwaitingTakeoverDelay) {
-            pool.idle.push_back(&host);
+        if (executor->runs.empty() && executor->isSynchronised) {
+            pool.held += isHeld ? 1 : 0;
+            pool.staying += !isHeld && isWithinMinimumStay ? 1 : 0;
+            if (!isHeld && !isWithinMinimumStay) {
+                pool.idle.push_back(&host);
+            }
         }
     }
     const auto demands = m_scheduler.demands(now);
@@ -141,6 +180,43 @@
     return pools;
 }
 
+/** Whether the host is up with an executor that this leader has not read from the registry yet. Without it a new leader would count no hosts in any pool. */
+bool pool_planner::isExpected(const host_description &host) const
+{
+    const executor_state *executor = m_scheduler.findExecutor(host.executor);
+    return !m_scheduler.isRegistryKnown() && !host.executor.empty() && (executor == nullptr || !executor->isListed);
+}
+
+void pool_planner::noteShortage(const std::map<std::string, pool_state> &pools, const std::string &target, std::size_t maximumMoves, time_point now)
+{
+    int surplus = 0;
+    int held = 0;
+    int staying = 0;
+    std::size_t idle = 0;
+    for (const auto &[name, pool] : pools) {
+        if (name != target) {
+            surplus += std::max(pool.hosts - pool.wanted, 0);
+            held += pool.held;
+            staying += pool.staying;
+            idle += pool.idle.size();
+        }
+    }
+    const pool_state &pool = pools.at(target);
+    m_shortage = "wanted=" + std::to_string(pool.wanted) + " hosts=" + std::to_string(pool.hosts) + " moving=" + std::to_string(m_moves.size())
+        + " moving-limit=" + std::to_string(maximumMoves) + " elsewhere-surplus=" + std::to_string(surplus) + " elsewhere-idle=" + std::to_string(idle)
+        + " elsewhere-held=" + std::to_string(held) + " elsewhere-staying=" + std::to_string(staying)
+        + " demand-known=" + std::to_string(now >= m_knowsDemandFrom ? 1 : 0) + " pool=" + target;
+}
+
+std::optional<std::string> pool_planner::takeShortageReport(time_point now)
+{
+    if (!m_shortage || now < m_nextShortageReport) {
+        return std::nullopt;
+    }
+    m_nextShortageReport = now + shortageReportInterval;
+    return m_shortage;
+}
+
 int pool_planner::wantedHosts(const service_demand &demand, std::int64_t hostMillicores) const
 {
     if (hostMillicores == 0) {
--- a/src/scheduler/pool_planner.h
+++ b/src/scheduler/pool_planner.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -14,8 +15,8 @@
 /** Settings for moving hosts between pools. */
 struct pool_planner_settings
 {
-    duration takeoverDelay = std::chrono::milliseconds{3200}; /**< How long a new leader does not move hosts that have a recent order of its predecessor. */
-    duration demandHistory = std::chrono::seconds{2}; /**< How long a new leader takes no surplus hosts: it has to see the arrivals of every queue first. */
+    duration takeoverDelay = std::chrono::milliseconds{3200}; /**< Minimum time between an order of an earlier leader for a host and a move by this one. */
+    duration demandHistory = std::chrono::seconds{2}; /**< How long a new leader takes no surplus hosts if the journal does not tell what arrives. */
     double headroom = 1.3; /**< Capacity to provide per unit of arriving work. */
     duration backlogTime = std::chrono::milliseconds{1500}; /**< Time in which a pool should process its backlog. */
     duration moveTimeout = std::chrono::seconds{6}; /**< A move that the host list does not show after this time is treated as failed. */
@@ -48,6 +49,9 @@
     /** Whether a move of the host is planned or under way. */
     bool isMoving(const std::string &host) const;
 
+    /** Returns why the pool with the largest shortage gets no more hosts, as key=value pairs, at most once a second; nothing if no pool lacks hosts. */
+    std::optional<std::string> takeShortageReport(time_point now);
+
     /** Reports the result of an order that decide() returned. */
     void handleOrderResult(const host_order &order, host_order_result result, time_point now);
 
@@ -68,11 +72,16 @@
         int wanted = 0; /**< Hosts that the demand requires. */
         std::int64_t hostMillicores = 0; /**< Processor capacity of one host. */
         std::vector<const host_description *> idle; /**< Hosts without runs that may be moved away. */
+        int held = 0; /**< Hosts without runs that have a recent order of an earlier leader. */
+        int staying = 0; /**< Hosts without runs that have arrived recently. */
     };
 
     std::map<std::string, pool_state> surveyPools(const std::map<std::string, host_description> &hosts,
                                                   const std::function<bool(const std::string &)> &isReserved, time_point now);
+    bool isExpected(const host_description &host) const;
+    void noteShortage(const std::map<std::string, pool_state> &pools, const std::string &target, std::size_t maximumMoves, time_point now);
     int wantedHosts(const service_demand &demand, std::int64_t hostMillicores) const;
+    void planMove(const host_description &host, const std::string &target, const pool_state &targetState, time_point now);
     std::vector<host_order> orderRecordedMoves();
     void removeFinishedMoves(const std::map<std::string, host_description> &hosts, time_point now);
     const host_description *takeSourceHost(std::map<std::string, pool_state> &pools, const std::string &target, time_point now);
@@ -80,11 +89,12 @@
     scheduler &m_scheduler;
     pool_planner_settings m_settings;
     std::int64_t m_fence = 0;
-    time_point m_mayOrderFrom{}; /**< Hosts in m_recentlyOrderedHosts are not moved before this time. */
+    std::map<std::string, time_point> m_mayOrderFrom; /**< Earliest time of a move, for hosts with a recent order of an earlier leader. */
     time_point m_knowsDemandFrom{}; /**< No surplus hosts are taken from pools before this time. */
-    std::set<std::string> m_recentlyOrderedHosts; /**< Hosts that may have a recent order of the previous leader. */
     std::map<std::string, move_state> m_moves;
     std::map<std::string, time_point> m_arrivedAt; /**< When a host last arrived in a pool, by host. */
+    std::optional<std::string> m_shortage; /**< Found by the last decide(); @see takeShortageReport() */
+    time_point m_nextShortageReport{};
     std::set<std::pair<std::string, std::string>> m_refused; /**< Pairs of host and pool where the pool does not accept the host. */
 };
 
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -15,9 +15,6 @@
 constexpr char moveKeyPrefix = 'm';
 constexpr char leaseKeyPrefix = 'l';
 
-// An order for a host that was recorded longer ago than this is certainly finished, even if a clock has jumped by some seconds.
-constexpr std::chrono::milliseconds recentOrder{15'000};
-
 bool hasStarted(const scheduled_job &job)
 {
     for (const scheduled_occurrence &occurrence : job.occurrences) {
@@ -134,6 +131,7 @@
     m_fence = fence;
     m_now = now;
     m_leadingSince = now;
+    m_hasPredecessorResigned = hasResigned;
     m_orphanProgress.clear();
 
     // The previous leader may have extended leases until its own leadership lease expired.
@@ -172,6 +170,10 @@
         }
     }
     restoreLeases(now, hasResigned);
+    restoreArrivals(now, wallNow);
+    for (const auto &[host, latest] : latestHostOrders()) {
+        m_hostOrders.restore(host, latest);
+    }
     for (auto &[id, executor] : m_executors) {
         touch(executor);
     }
@@ -179,6 +181,31 @@
     endExhaustedJobs();
 }
 
+/** Takes the last work that earlier leaders have accepted for the demand until this leader has seen arrivals itself. */
+void scheduler::restoreArrivals(time_point now, wall_time wallNow)
+{
+    for (const auto &[id, job] : m_jobs) {
+        m_restoredArrivals.add(job->work.queue, job->work.acceptedMilliseconds, declaredWork(job->work));
+    }
+    m_restoredArrivals.keepNewest(m_settings.arrivalWindow, now, wallNow);
+    m_isDemandRestored = !m_restoredArrivals.arrivals().empty();
+    addRestoredArrivals();
+}
+
+/** Adds the restored arrivals to the windows of their services, once a configuration names these. */
+void scheduler::addRestoredArrivals()
+{
+    if (m_configuration.version == 0) {
+        return;
+    }
+    for (const restored_arrivals::arrival &item : m_restoredArrivals.arrivals()) {
+        if (const queue_policy *queue = findQueue(item.queue)) {
+            m_arrivals.try_emplace(queue->service, m_settings.arrivalWindow).first->second.add(item.countsFrom, item.work);
+        }
+    }
+    m_restoredArrivals.clear();
+}
+
 void scheduler::setConfiguration(queue_configuration configuration)
 {
     m_queues.clear();
@@ -186,6 +213,7 @@
     for (const queue_policy &queue : m_configuration.queues) {
         m_queues.try_emplace(queue.name, &queue);
     }
+    addRestoredArrivals();
     endExhaustedJobs();
 }
 
@@ -282,39 +310,11 @@
     return m_batch + 1;
 }
 
-std::vector<wire::host_record> scheduler::hostRecords() const
-{
-    std::vector<wire::host_record> records;
-    for (const auto &[key, value] : m_hostRecords) {
-        if (auto record = decode<wire::host_record>(value)) {
-            records.push_back(std::move(*record));
-        }
-    }
-    return records;
-}
-
-std::set<std::string> scheduler::recentlyOrderedHosts() const
-{
-    std::set<std::string> hosts;
-    for (const wire::host_record &record : hostRecords()) {
-        const wall_time ordered(std::chrono::milliseconds(record.orderedMilliseconds));
-        if (m_wallNow - ordered < recentOrder) {
-            hosts.insert(record.host);
-        }
-    }
-    return hosts;
-}
-
 std::uint64_t scheduler::confirmedBatch() const
 {
     return m_confirmedBatch;
 }
 
-void scheduler::addHostDecision(std::string decision, const std::string &host, std::string inputs)
-{
-    m_actions.emplace_back(decision_entry{std::move(decision), {}, {}, {}, host, std::move(inputs)});
-}
-
 std::vector<scheduler_action> scheduler::takeActions()
 {
     return std::exchange(m_actions, {});
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -5,7 +5,9 @@
 #include "scheduler/arrival_window.h"
 #include "scheduler/capacity_index.h"
 #include "scheduler/executor_state.h"
+#include "scheduler/host_order_history.h"
 #include "scheduler/queue_configuration.h"
+#include "scheduler/restored_arrivals.h"
 #include "scheduler/run_time_ratio.h"
 #include "scheduler/scheduled_job.h"
 #include "scheduler/scheduler_action.h"
@@ -78,6 +80,7 @@
 
     /** Reports that all current entries of the registry have been passed. An executor without an entry is gone from then on. */
     void confirmRegistry();
+    bool isRegistryKnown() const;
 
     /** Calls from callers. Each gets one call_response with the token among the actions, at once or after the journal has confirmed a batch. */
     void submit(call_token token, const std::string &job, wire::work_record work, wall_time now);
@@ -131,14 +134,21 @@
     /** Returns the demand of the jobs of each service for its pool. Services without demand have no entry. */
     std::map<std::string, service_demand> demands(time_point now);
 
+    /** Whether the journal has told lead() what arrived last, so that demands() need not wait for the arrivals at this leader. */
+    bool isDemandRestored() const;
+
     /** Adds the record of an order for a host to the next batch. Returns the number of that batch; see confirmedBatch(). */
     std::uint64_t recordHost(wire::host_record record);
 
     /** Returns the restored and newly written records of orders for hosts. */
     std::vector<wire::host_record> hostRecords() const;
 
-    /** Returns the hosts to which a previous leader may have recently sent an order. Meaningful only right after lead(). */
-    std::set<std::string> recentlyOrderedHosts() const;
+    /** Notes that an order for the host is about to be sent, and its result. @param mayArriveLate the order had no answer and may still be carried out */
+    void noteHostOrder(const std::string &host);
+    void noteHostOrderResult(const std::string &host, bool mayArriveLate, time_point now);
+
+    /** Returns when an earlier leader can last have sent an order, for each host with a recent one. Meaningful only right after lead(). */
+    std::map<std::string, time_point> latestHostOrders() const;
 
     /** Returns the number of the last batch that the journal has confirmed. */
     std::uint64_t confirmedBatch() const;
@@ -294,6 +304,9 @@
 
     void acknowledgeUnrecordedEnds();
     void addLeaseRecords(journal_batch &batch);
+    void recordHostOrderAges(time_point now);
+    void restoreArrivals(time_point now, wall_time wallNow);
+    void addRestoredArrivals();
 
     // evacuation
     void evacuate(executor_state &executor, time_point now);
@@ -364,10 +377,14 @@
     start_delay m_startDelay; /**< From planRun() to sendStart(). */
     std::unordered_map<std::string, run_time_ratio> m_runTimeRatios; /**< By queue. */
     std::map<std::string, arrival_window> m_arrivals; /**< By service, in millicore-milliseconds. */
+    restored_arrivals m_restoredArrivals; /**< Not in m_arrivals yet, because their services are not known. */
+    bool m_isDemandRestored = false;
     time_point m_now{}; /**< Of the last lead() or decide(). */
     std::optional<time_point> m_resigned;
     std::map<std::string, std::string> m_hostRecords; /**< Encoded records of orders for hosts, by journal key. */
     std::vector<std::string> m_changedHostRecords;
+    host_order_history m_hostOrders;
+    bool m_hasPredecessorResigned = false;
     std::map<std::string, wire::lease_record> m_restoredLeases; /**< By executor, from the journal. */
     std::map<std::string, recorded_lease> m_leaseRecords; /**< By executor. */
     std::set<std::string> m_changedLeaseRecords;
