--- a/src/control/leadership_task.cpp
+++ b/src/control/leadership_task.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-// Maximum number of known entry hosts. The one whose last message is the oldest is removed first.
-constexpr std::size_t maximumMembers = 128;
-
 // Reads of the announcement may wait long, because probes detect the loss of a leader sooner; the announcement only names the new leader.
 constexpr duration announcementWait = std::chrono::seconds{2};
 
@@ -216,7 +213,7 @@
 /** Replies at once if the sender has an older configuration or this entry host does not lead; otherwise delays the reply by up to maximumProbeReplyDelay. */
 void leadership_task::handleProbe(const wire::leader_probe &request, const peer_server::reply_function &reply)
 {
-    recordMember(request.peerAddress);
+    recordProbe(request);
     m_puller.offer(request.peerAddress, request.configurationVersion);
     if (request.wantsConfiguration) {
         wire::peer_message response;
@@ -245,7 +242,7 @@
     } else if (m_link && silence() < m_settings.leaderSuspicionTimeout) {
         status.leaderAddress = m_link->address();
     }
-    for (const auto &[address, lastMessageAt] : m_members) {
+    for (const auto &[address, known] : m_members) {
         status.members.push_back(address);
     }
     if (request.wantsConfiguration && request.configurationVersion < m_configuration.version) {
@@ -269,43 +266,12 @@
     request.configurationVersion = m_configuration.version;
     request.peerAddress = m_settings.peerAddress;
     request.leadingMillicores = leadingMillicores();
+    request.dataCentre = m_peers.dataCentre;
     wire::peer_message message;
     message.__set_probe(request);
     return message;
 }
 
-void leadership_task::recordMember(const std::string &address)
-{
-    if (address.empty() || address == m_settings.peerAddress) {
-        return;
-    }
-    m_members[address] = m_loop.now();
-    if (m_members.size() > maximumMembers) {
-        m_members.erase(std::min_element(m_members.begin(), m_members.end(), [](const auto &left, const auto &right) { return left.second < right.second; }));
-    }
-}
-
-/** Queries the next known entry host for the leader that it follows, for the case that this one can't read the announcement from the store. */
-void leadership_task::queryNextMember()
-{
-    if (m_memberLink || m_members.empty()) {
-        return;
-    }
-    auto next = m_members.upper_bound(m_queriedMember);
-    if (next == m_members.end()) {
-        next = m_members.begin();
-    }
-    m_queriedMember = next->first;
-    m_memberQuerySentAt = m_loop.now();
-    const auto sendProbe = [this](bool isReady) {
-        if (isReady) {
-            m_memberLink->request(makeProbe(), m_settings.probeTimeout, [this](const outcome<wire::peer_message> &reply) { handleMemberReply(reply); });
-        }
-    };
-    m_memberLink = std::make_unique<peer_link>(m_loop, m_peers, m_queriedMember, sendProbe);
-    m_memberQueryTimer = m_loop.after(m_settings.probeTimeout, [this] { m_loop.post([old = std::shared_ptr<peer_link>(std::move(m_memberLink))] {}); });
-}
-
 /** Compares the configuration of another entry host with the one in force, which is either outdated or confirmed as the newest. */
 void leadership_task::compareConfiguration(const std::string &address, const wire::leader_status &status, time_point requestedAt)
 {
@@ -315,21 +281,6 @@
     }
 }
 
-void leadership_task::handleMemberReply(const outcome<wire::peer_message> &reply)
-{
-    if (!reply || !reply->__isset.probeReply) {
-        return;
-    }
-    const wire::leader_status &status = reply->probeReply;
-    for (const std::string &address : status.members) {
-        m_members.try_emplace(address, time_point{});
-    }
-    compareConfiguration(m_queriedMember, status, m_memberQuerySentAt);
-    if (!status.leaderAddress.empty() && status.leaderAddress != m_settings.peerAddress) {
-        follow(status.leaderAddress, status.leadership);
-    }
-}
-
 void leadership_task::probe()
 {
     if (m_leader) {
--- a/src/control/leadership_task.h
+++ b/src/control/leadership_task.h
@@ -4,6 +4,7 @@
 #include "control/control_settings.h"
 #include "control/journal_loader.h"
 #include "control/leader_task.h"
+#include "control/member.h"
 #include "control/topic_follower.h"
 #include "transport/peer_link.h"
 #include "transport/peer_server.h"
@@ -69,6 +70,9 @@
     /** Resigns if this entry host leads, and takes part in no further election. */
     void retire();
 
+    /** The other entry hosts that are known, by peer address. */
+    const std::map<std::string, member> &members() const;
+
     control_metrics &metrics();
 
     /** The leader task while this entry host leads; null otherwise. */
@@ -93,6 +97,7 @@
     void queryNextMember();
     void handleMemberReply(const outcome<wire::peer_message> &reply);
     void recordMember(const std::string &address);
+    void recordProbe(const wire::leader_probe &request);
     void suspect(const std::string &reason);
     void startElection();
     bool hasLowProcessorShare() const;
@@ -124,7 +129,7 @@
     std::map<std::int64_t, wave_request> m_waves;
     std::unique_ptr<peer_link> m_link;
     std::unique_ptr<peer_link> m_memberLink; /**< To another entry host that is queried for the leader while the leader does not reply. */
-    std::map<std::string, time_point> m_members; /**< Peer addresses of the other entry hosts, and when the last message of each was received. */
+    std::map<std::string, member> m_members; /**< The other entry hosts by peer address. */
     std::string m_queriedMember;
     std::int64_t m_followedFence = -1;
     std::optional<announced_leader> m_successor; /**< The entry host that has deposed this one; set until this one has stopped leading. */
