--- a/tests/control/memory_store.cpp
+++ b/tests/control/memory_store.cpp
@@ -1,5 +1,8 @@
 #include "memory_store.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace parsleyglade {
 
 namespace {
@@ -16,7 +19,11 @@
 
 void memory_store::schedule(duration delay, std::function<void()> action)
 {
-    m_pending.push_back(std::make_shared<timer_subscription>(m_timers.after(delay, std::move(action))));
+    const std::uint64_t number = m_scheduled++;
+    m_pending[number] = m_timers.after(delay, [this, number, action = std::move(action)] {
+        const auto subscription = m_pending.extract(number); // kept until the action, which belongs to it, has returned
+        action();
+    });
 }
 
 std::uint64_t memory_store::put(store_topic topic, const std::vector<journal_entry> &entries)
@@ -24,6 +31,7 @@
     topic_state &state = m_topics[topic];
     const std::uint64_t offset = state.records.size();
     for (const journal_entry &entry : entries) {
+        state.newest[entry.key] = state.records.size();
         state.records.push_back({state.records.size(), entry.key, entry.value});
     }
     return offset;
@@ -104,12 +112,31 @@
     result.next = from + result.records.size();
     result.end = state.records.size();
     if (result.records.empty() && m_timers.now() < until) {
-        schedule(responseDelay, [this, topic, from, until, maximumBytes, done = std::move(done)] { completeRead(topic, from, until, maximumBytes, done); });
+        m_waitingReads.push_back({topic, from, until, maximumBytes, std::move(done)});
+        if (!m_isWaitTimerRunning) {
+            m_isWaitTimerRunning = true;
+            m_waitTimer = m_timers.every(responseDelay, [this] { checkWaitingReads(); });
+        }
         return;
     }
+    deliveredReadRecords[topic] += result.records.size();
     schedule(transferTime(result.records), [done = std::move(done), result] { done(result); });
 }
 
+/** Completes the waiting reads whose time is over or that have a record. */
+void memory_store::checkWaitingReads()
+{
+    const auto isDue = [this](const waiting_read &read) {
+        return isDown || read.from < m_topics[read.topic].first || read.from < end(read.topic) || m_timers.now() >= read.until;
+    };
+    const auto firstDue = std::stable_partition(m_waitingReads.begin(), m_waitingReads.end(), [&](const waiting_read &read) { return !isDue(read); });
+    const std::vector<waiting_read> due(std::make_move_iterator(firstDue), std::make_move_iterator(m_waitingReads.end()));
+    m_waitingReads.erase(firstDue, m_waitingReads.end());
+    for (const waiting_read &read : due) {
+        completeRead(read.topic, read.from, read.until, read.maximumBytes, read.done);
+    }
+}
+
 void memory_store::readNewest(store_topic topic, const std::string &afterKey, std::function<void(store_page)> done)
 {
     schedule(responseDelay, [this, topic, afterKey, done = std::move(done)] {
@@ -119,14 +146,12 @@
             done(page);
             return;
         }
-        std::map<std::string, store_record> newestRecords;
-        for (const store_record &record : m_topics[topic].records) {
-            newestRecords[record.key] = record;
-        }
         page.isAvailable = true;
         page.end = end(topic);
-        for (const auto &[key, record] : newestRecords) {
-            if (key <= afterKey || record.value.empty()) {
+        const topic_state &state = m_topics[topic];
+        for (auto entry = state.newest.upper_bound(afterKey); entry != state.newest.end(); ++entry) {
+            const store_record &record = state.records[entry->second];
+            if (record.value.empty()) {
                 continue;
             }
             if (page.records.size() == pageSize) {
--- a/tests/control/memory_store.h
+++ b/tests/control/memory_store.h
@@ -44,21 +44,38 @@
     std::size_t pageSize = 500; /**< Maximum number of records of a page. */
     std::size_t bytesPerSecond = 0; /**< Rate at which records are transferred; 0 for no limit. */
     std::size_t deliveredPageRecords = 0; /**< Number of records that readNewest() has returned. */
+    std::map<store_topic, std::size_t> deliveredReadRecords; /**< Number of records that read() has returned. */
 
 private:
     struct topic_state
     {
         std::vector<store_record> records;
+        std::map<std::string, std::uint64_t> newest; /**< Offset of the newest record of each key. */
         std::uint64_t first = 0;
     };
 
+    /** A read that waits for a record. */
+    struct waiting_read
+    {
+        store_topic topic{};
+        std::uint64_t from = 0;
+        time_point until{};
+        std::size_t maximumBytes = 0;
+        std::function<void(store_read_result)> done;
+    };
+
     void schedule(duration delay, std::function<void()> action);
     void completeRead(store_topic topic, std::uint64_t from, time_point until, std::size_t maximumBytes, std::function<void(store_read_result)> done);
+    void checkWaitingReads();
     duration transferTime(const std::vector<store_record> &records) const;
 
     timer_service &m_timers;
     std::map<store_topic, topic_state> m_topics;
-    std::vector<std::shared_ptr<timer_subscription>> m_pending;
+    std::map<std::uint64_t, timer_subscription> m_pending; /**< Keyed by number, so that each is removed when it is due. */
+    std::uint64_t m_scheduled = 0;
+    std::vector<waiting_read> m_waitingReads;
+    bool m_isWaitTimerRunning = false;
+    timer_subscription m_waitTimer; /**< Checks the waiting reads. One for all, because hundreds of reads wait in the tests of large deployments. */
 };
 
 } // namespace parsleyglade
