--- a/src/control/journal_writer.cpp
+++ b/src/control/journal_writer.cpp
@@ -1,5 +1,6 @@
 #include "control/journal_writer.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace parsleyglade {
@@ -11,12 +12,14 @@
 
 } // namespace
 
-journal_writer::journal_writer(timer_service &timers, keyed_store &store, const control_settings &settings, std::uint64_t end, std::function<void()> deposed)
+journal_writer::journal_writer(timer_service &timers, keyed_store &store, const control_settings &settings, std::uint64_t end, std::function<void()> deposed,
+                               std::function<void()> refused)
     : m_timers(timers)
     , m_store(store)
     , m_settings(settings)
     , m_end(end)
     , m_deposed(std::move(deposed))
+    , m_refused(std::move(refused))
     , m_lastConfirmed(timers.now())
 {
 }
@@ -32,6 +35,7 @@
     m_entries.insert(m_entries.end(), std::make_move_iterator(entries.begin()), std::make_move_iterator(entries.end()));
     m_done = std::move(done);
     m_mayHaveBeenAppended = false;
+    m_failedAttempts = 0;
     m_firstSentAt = m_timers.now();
     send();
 }
@@ -41,6 +45,16 @@
     return static_cast<bool>(m_done);
 }
 
+bool journal_writer::isRefused() const
+{
+    return m_isRefused;
+}
+
+std::uint64_t journal_writer::end() const
+{
+    return m_end;
+}
+
 time_point journal_writer::lastConfirmed() const
 {
     return m_lastConfirmed;
@@ -77,9 +91,26 @@
         break;
     }
     logFirstFailure(result.reason);
+    noteFailedAttempt();
     scheduleRetry();
 }
 
+/** After the second failed attempt, reports a refusal once the refusal timeout has passed without a confirmation. */
+void journal_writer::noteFailedAttempt()
+{
+    ++m_failedAttempts;
+    if (m_failedAttempts != 2) {
+        return;
+    }
+    const duration remaining = m_settings.refusalTimeout - (m_timers.now() - m_firstSentAt);
+    m_refusalTimer = m_timers.after(std::max(remaining, duration::zero()), [this] {
+        m_isRefused = true;
+        if (m_refused) {
+            m_refused();
+        }
+    });
+}
+
 void journal_writer::logFirstFailure(const std::string &reason)
 {
     if (!m_isStalled) {
@@ -141,6 +172,8 @@
         m_log.info("appends succeed again", {{"offset", offset}});
     }
     m_timer.cancel();
+    m_refusalTimer.cancel();
+    m_isRefused = false;
     m_end = offset + m_entries.size();
     m_lastConfirmed = sentAt;
     const auto done = std::exchange(m_done, nullptr);
--- a/src/control/journal_writer.h
+++ b/src/control/journal_writer.h
@@ -23,8 +23,10 @@
     static constexpr const char *batchKey = "b";
 
     /** @param end offset at which the journal ends.
-        @param deposed called once when another writer has appended; the append in flight is then never confirmed. */
-    journal_writer(timer_service &timers, keyed_store &store, const control_settings &settings, std::uint64_t end, std::function<void()> deposed);
+        @param deposed called once when another writer has appended; the append in flight is then never confirmed.
+        @param refused called each time isRefused() becomes true. */
+    journal_writer(timer_service &timers, keyed_store &store, const control_settings &settings, std::uint64_t end, std::function<void()> deposed,
+                   std::function<void()> refused = {});
     journal_writer(const journal_writer &) = delete;
     journal_writer &operator=(const journal_writer &) = delete;
     ~journal_writer() = default;
@@ -38,6 +40,12 @@
     /** Whether an append is in flight. */
     bool isBusy() const;
 
+    /** Whether at least two attempts of the append in flight have failed, and none has succeeded for the refusal timeout. */
+    bool isRefused() const;
+
+    /** Offset that the next append, or the one in flight, is conditional on. */
+    std::uint64_t end() const;
+
     /** Time at which the last confirmed append was sent, or the time of construction when there was none. If several attempts were made and it is
         unclear which one was carried out, the time of the first one. */
     time_point lastConfirmed() const;
@@ -45,6 +53,7 @@
 private:
     void send();
     void handleAppendResult(const store_append_result &result);
+    void noteFailedAttempt();
     void logFirstFailure(const std::string &reason);
     void handleConflict(const std::string &reason);
     void readOwnPosition();
@@ -57,6 +66,7 @@
     const control_settings &m_settings;
     std::uint64_t m_end;
     std::function<void()> m_deposed;
+    std::function<void()> m_refused;
     std::int64_t m_sequence = 0;
     std::vector<journal_entry> m_entries;
     std::function<void(std::uint64_t)> m_done;
@@ -65,9 +75,12 @@
     time_point m_lastConfirmed{};
     bool m_mayHaveBeenAppended = false; /**< An earlier attempt got no response. */
     bool m_isStalled = false;
+    bool m_isRefused = false;
+    int m_failedAttempts = 0; /**< Of the append in flight. */
     bool m_isSendPending = false; /**< An attempt is in flight or a retry is scheduled. */
     std::uint64_t m_attempt = 0; /**< Number of the last attempt; responses to earlier ones are ignored. */
     timer_subscription m_timer;
+    timer_subscription m_refusalTimer;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     logger m_log{"journal"};
 };
--- a/tests/control/journal_test.cpp
+++ b/tests/control/journal_test.cpp
@@ -27,8 +27,14 @@
     control_settings settings = makeSettings(1);
     bool isDeposed = false;
     std::optional<std::uint64_t> confirmed;
-    journal_writer writer{timers, store, settings, 0, [this] {
-                              isDeposed = true;
+    int refusals = 0;
+    journal_writer writer{timers,
+                          store,
+                          settings,
+                          0,
+                          [this] { isDeposed = true; },
+                          [this] {
+                              ++refusals;
                           }};
 
     void append()
@@ -94,6 +100,46 @@
     CHECK_FALSE(fixture.isDeposed);
 }
 
+// Incident SHORT: a leader whose appends the store refused knew it at once, and its followers waited for its journal to fall silent.
+TEST_CASE("a writer reports a refusal when at least two attempts have failed for the refusal timeout", "[journal]")
+{
+    writer_fixture fixture;
+    SECTION("refused")
+    {
+        fixture.store.isDown = true;
+        fixture.writer.append({}, {}, [&](std::uint64_t offset) { fixture.confirmed = offset; });
+        fixture.timers.advance(fixture.settings.refusalTimeout - 10ms);
+        CHECK_FALSE(fixture.writer.isRefused());
+        fixture.timers.advance(20ms);
+        CHECK(fixture.writer.isRefused());
+        fixture.timers.advance(2s);
+        CHECK(fixture.refusals == 1);
+        fixture.store.isDown = false;
+        fixture.timers.advance(200ms);
+        CHECK(fixture.confirmed == 0U);
+        CHECK_FALSE(fixture.writer.isRefused());
+        fixture.append();
+        CHECK(fixture.refusals == 1);
+    }
+    SECTION("refused again")
+    {
+        fixture.store.appendFaults.assign(4, fault::refused);
+        fixture.append();
+        CHECK(fixture.confirmed);
+        fixture.store.appendFaults.assign(4, fault::refused);
+        fixture.append();
+        CHECK(fixture.confirmed);
+        CHECK(fixture.refusals == 2);
+    }
+    SECTION("one lost response")
+    {
+        fixture.store.appendFaults = {GENERATE(fault::request_lost, fault::response_lost, fault::refused)};
+        fixture.append();
+        CHECK(fixture.confirmed);
+        CHECK(fixture.refusals == 0);
+    }
+}
+
 // Guards against a deposed leader that keeps appending to the journal of its successor.
 TEST_CASE("a writer is deposed and appends nothing when another one has appended at its position", "[journal]")
 {
