--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -75,7 +75,8 @@
         return restoreLease(key.substr(1), value);
     }
     if (value.empty()) {
-        return true; // a removed record
+        removeRestored(key);
+        return true;
     }
     if (key.size() > 1 && (key.front() == maintenanceKeyPrefix || key.front() == moveKeyPrefix)) {
         m_hostRecords[key] = value;
@@ -114,6 +115,30 @@
     return true;
 }
 
+/** Removes what was restored of a record that the journal no longer has. A copy that follows the journal would otherwise keep every job. */
+void scheduler::removeRestored(const std::string &key)
+{
+    if (key.size() < 2) {
+        return;
+    }
+    const std::string id = key.substr(1);
+    switch (key.front()) {
+    case workKeyPrefix:
+        m_jobs.erase(id);
+        m_orphanProgress.erase(id);
+        break;
+    case progressKeyPrefix:
+        m_orphanProgress.erase(id);
+        break;
+    case maintenanceKeyPrefix:
+    case moveKeyPrefix:
+        m_hostRecords.erase(key);
+        break;
+    default:
+        break;
+    }
+}
+
 bool scheduler::restoreLease(const std::string &executor, const std::string &value)
 {
     m_restoredLeases.erase(executor);
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -216,6 +216,7 @@
         std::int64_t cost = std::numeric_limits<std::int64_t>::max();
     };
 
+    void removeRestored(const std::string &key);
     bool restoreLease(const std::string &executor, const std::string &value);
     scheduled_job *findMutableJob(const std::string &id);
     scheduled_task *findTask(const task_id &taskId);
