--- a/tests/control/deposed_leader_test.cpp
+++ b/tests/control/deposed_leader_test.cpp
@@ -112,6 +112,43 @@
     CHECK(response->reply.verdict == wire::work_verdict::not_found);
 }
 
+// Guards against stale reads: a leader that has stated that the store refuses it may have a successor at once.
+TEST_CASE("a leader that the store refuses reports no job as unknown and no number of pending jobs from its own state", "[control]")
+{
+    pair_fixture fixture;
+    fixture.secondStore.isPartitioned = true; // so that nobody takes over
+    fixture.firstStore.isRefused = true;
+    runUntil(fixture.loop, 1s, [&] { return fixture.first.leadership().leader()->isStoreRefusing(); });
+    REQUIRE(fixture.first.leadership().leader()->isStoreRefusing());
+    REQUIRE(fixture.first.leadership().leader()->journalAge() < fixture.firstSettings.readLease - 200ms);
+    const auto pending = makeCall(wire::work_call_kind::count_pending, {});
+    const auto unknown = makeCall(wire::work_call_kind::query, "unknown");
+    for (const wire::work_call &call : {pending, unknown}) {
+        const auto response = fixture.send(fixture.first, call, 100ms);
+        REQUIRE(response);
+        CHECK(response->delivery != work_gateway::delivery_status::responded);
+    }
+
+    fixture.firstStore.isRefused = false;
+    const auto response = fixture.send(fixture.first, unknown, 2s);
+    REQUIRE(response);
+    CHECK(response->reply.verdict == wire::work_verdict::not_found);
+}
+
+// Guards against the time of watching where the leader itself says that the store refuses it, also on a deployment that names no successors.
+TEST_CASE("a leader that the store refuses is succeeded at once by an entry host that reaches the store", "[control]")
+{
+    pair_fixture fixture;
+    fixture.firstStore.isRefused = true;
+    runUntil(fixture.loop, 5s, [&] { return fixture.second.leadership().leader() != nullptr; });
+    REQUIRE(fixture.second.leadership().leader() != nullptr);
+    REQUIRE(fixture.firstStore.firstRefusedAppendAt);
+    CHECK(fixture.loop.now() - *fixture.firstStore.firstRefusedAppendAt <= 300ms);
+    runUntil(fixture.loop, 3s, [&] { return fixture.first.leadership().leader() == nullptr && fixture.first.leadership().isConnected(); });
+    CHECK(fixture.first.leadership().leader() == nullptr);
+    CHECK(fixture.first.leadership().isConnected());
+}
+
 // Guards against 504 for submissions that were never passed to the scheduler, which callers can't safely retry elsewhere.
 TEST_CASE("a submission during an outage of the store is certainly not accepted", "[control]")
 {
