--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -7,6 +7,7 @@
     , m_settings(settings)
     , m_address(std::move(address))
     , m_stateChanged(std::move(stateChanged))
+    , m_nextId(loop.now().time_since_epoch().count())
 {
     connect();
 }
@@ -63,6 +64,23 @@
     m_session->send(message);
 }
 
+std::int64_t peer_link::subscribe(message_callback received)
+{
+    const std::int64_t id = m_nextId++;
+    m_subscriptions[id] = std::make_shared<message_callback>(std::move(received));
+    return id;
+}
+
+bool peer_link::sendTo(std::int64_t subscription, wire::peer_message &message)
+{
+    if (!isReady() || !m_subscriptions.contains(subscription)) {
+        return false;
+    }
+    message.id = subscription;
+    message.isReply = false;
+    return m_session->send(message);
+}
+
 void peer_link::failRequest(std::int64_t id, const std::string &reason)
 {
     const auto node = m_pending.extract(id);
@@ -80,6 +98,11 @@
 
 void peer_link::peerMessage(const std::shared_ptr<peer_session> &, wire::peer_message &message)
 {
+    if (const auto found = m_subscriptions.find(message.id); message.isReply && found != m_subscriptions.end()) {
+        const auto received = found->second; // the callback may open or end subscriptions
+        (*received)(message);
+        return;
+    }
     auto node = m_pending.extract(message.id);
     if (message.isReply && !node.empty()) {
         node.mapped().timeout.cancel();
@@ -94,6 +117,7 @@
     m_session.reset();
     m_reconnect = m_loop.after(m_settings.reconnectDelay, [this] { connect(); });
 
+    m_subscriptions.clear();
     const auto pending = std::exchange(m_pending, {});
     for (const auto &[id, request] : pending) {
         request.done(failure{result_code::peer_unreachable, reason, {}});
--- a/src/transport/peer_link.h
+++ b/src/transport/peer_link.h
@@ -16,6 +16,7 @@
 {
 public:
     using reply_callback = std::function<void(const outcome<wire::peer_message> &)>;
+    using message_callback = std::function<void(const wire::peer_message &)>;
 
     /** @param address IP:PORT of the other entry host's peer listener.
         @param stateChanged called with true when the link becomes ready, and with false when it is lost or an attempt to connect has failed. */
@@ -39,6 +40,16 @@
         when the link is not ready, the connection is lost or the timeout has ended. */
     void request(wire::peer_message message, duration timeout, reply_callback done);
 
+    /** Opens a subscription: the peer may reply any number of times to the messages that are sent with sendTo(). It ends without a further callback
+        when the link is lost, which stateChanged reports, and with the destruction of the link.
+        @param received called with each reply, never before this function has returned
+        @return the id for sendTo() */
+    std::int64_t subscribe(message_callback received);
+
+    /** Sends a message of a subscription. Returns false when the peer will certainly not receive it: the link is not ready, the subscription has
+        ended, or the message is too large. */
+    bool sendTo(std::int64_t subscription, wire::peer_message &message);
+
 private:
     struct pending_request
     {
@@ -59,7 +70,8 @@
     std::shared_ptr<peer_session> m_session;
     std::optional<peer_identity> m_identity;
     std::unordered_map<std::int64_t, pending_request> m_pending;
-    std::int64_t m_nextId = 1;
+    std::unordered_map<std::int64_t, std::shared_ptr<message_callback>> m_subscriptions;
+    std::int64_t m_nextId; /**< Ids start at the time of construction, so that subscriptions of two links of a process have different ids. */
     timer_subscription m_reconnect;
     logger m_log{"peer"};
 };
--- a/src/transport/peer_session.cpp
+++ b/src/transport/peer_session.cpp
@@ -210,27 +210,26 @@
     return hmacSha256(m_settings.sharedKey, label + connecting + accepting + proverName);
 }
 
-void peer_session::send(const wire::peer_message &message)
+bool peer_session::send(const wire::peer_message &message)
 {
-    if (m_isReady && !m_isClosed) {
-        write(message);
-    }
+    return m_isReady && !m_isClosed && write(message);
 }
 
-void peer_session::write(const wire::peer_message &message)
+bool peer_session::write(const wire::peer_message &message)
 {
     const std::string bytes = encode(message);
     if (bytes.size() > maximumMessageBytes) {
-        return;
+        return false;
     }
     if (evbuffer_get_length(bufferevent_get_output(m_buffer)) > m_settings.maximumQueuedBytes) {
         m_loop.post([self = shared_from_this()] { self->close("the unsent output for the peer exceeds the limit"); });
-        return;
+        return false;
     }
 
     const std::uint32_t length = htonl(static_cast<std::uint32_t>(bytes.size()));
     bufferevent_write(m_buffer, &length, lengthBytes);
     bufferevent_write(m_buffer, bytes.data(), bytes.size());
+    return true;
 }
 
 void peer_session::close(const std::string &reason, bool silent)
--- a/src/transport/peer_session.h
+++ b/src/transport/peer_session.h
@@ -61,8 +61,9 @@
     void accept(int socket);
 
     /** Sends a message. The message is dropped when the session is not ready or the encoded message exceeds maximumMessageBytes.
-        Closes the session when more than maximumQueuedBytes of output are unsent. */
-    void send(const wire::peer_message &message);
+        Closes the session when more than maximumQueuedBytes of output are unsent. Returns false when the message was dropped and the peer will
+        certainly not receive it. */
+    bool send(const wire::peer_message &message);
 
     /** Closes the session. Does nothing when it is closed already. @param silent suppresses peerClosed(), for a listener that is being destroyed */
     void close(const std::string &reason, bool silent = false);
@@ -81,7 +82,7 @@
     void handleProof(const wire::hello_proof &proof);
     void sendGreeting();
     void sendProof();
-    void write(const wire::peer_message &message);
+    bool write(const wire::peer_message &message);
     std::string computeProof(side prover) const;
 
     event_loop &m_loop;
--- a/tests/transport/peer_test.cpp
+++ b/tests/transport/peer_test.cpp
@@ -109,6 +109,46 @@
     CHECK(readyCount == 2);
 }
 
+// Guards against replies of a subscription that are taken for the reply to a request, and against replies after the connection was lost.
+TEST_CASE("a subscription receives any number of replies until the link is lost")
+{
+    peer_fixture fixture;
+    fixture.serve("127.0.0.1:0");
+    const std::string address = "127.0.0.1:" + std::to_string(fixture.port);
+    int lostCount = 0;
+    peer_link link(fixture.loop, fixture.clientSettings, address, [&](bool ready) { lostCount += ready ? 0 : 1; });
+    std::vector<std::string> received;
+    const auto record = [&](const wire::peer_message &message) {
+        received.push_back(message.documentReply.json);
+    };
+    wire::peer_message early = makeDocumentRequest("early");
+    CHECK_FALSE(link.sendTo(link.subscribe(record), early));
+    fixture.run(50ms);
+    REQUIRE(link.isReady());
+
+    const std::int64_t subscription = link.subscribe(record);
+    std::string reply;
+    for (const char *name : {"one", "two", "three"}) {
+        wire::peer_message message = makeDocumentRequest(name);
+        CHECK(link.sendTo(subscription, message));
+        link.request(makeDocumentRequest("request"), 100ms,
+                     [&](const outcome<wire::peer_message> &answer) { reply = answer ? answer->documentReply.json : ""; });
+    }
+    fixture.run(50ms);
+    CHECK(received == std::vector<std::string>{"one", "two", "three"});
+    CHECK(reply == "request");
+
+    fixture.server.reset();
+    fixture.run(30ms);
+    CHECK(lostCount > 0);
+    fixture.serve(address);
+    fixture.run(100ms);
+    REQUIRE(link.isReady());
+    wire::peer_message late = makeDocumentRequest("late");
+    CHECK_FALSE(link.sendTo(subscription, late));
+    CHECK(received.size() == 3);
+}
+
 // Guards against unauthenticated clients on the port between entry hosts.
 TEST_CASE("a peer without the shared key is rejected by both sides")
 {
