--- a/tests/platform/executor_orders_test.cpp
+++ b/tests/platform/executor_orders_test.cpp
@@ -8,6 +8,7 @@
 #include <event2/http.h>
 #include <memory>
 #include <netinet/in.h>
+#include <optional>
 #include <string>
 #include <sys/socket.h>
 #include <vector>
@@ -103,3 +104,27 @@
     CHECK(server.received() == 2);
     CHECK(std::count(results.begin(), results.end(), order_result::not_sent) == 1);
 }
+
+// Guards against a poll of a deposed leader that extends a lease, which its successor does not count on.
+TEST_CASE("a poll is not sent after the leadership lease")
+{
+    event_loop loop;
+    holding_executor server(loop);
+    platform_executors executors(loop, 16);
+    poll_order order;
+    order.target.executor = "executor";
+    order.target.address = server.address();
+    order.target.validUntil = loop.now() - 1us;
+    order.leaseEnd = 1000;
+    std::optional<order_result> result;
+    executors.poll(order, [&](const poll_response &response) {
+        result = response.result;
+        loop.stop();
+    });
+    CHECK_FALSE(result); // never before the call has returned
+    const auto timeout = loop.after(5s, [&loop] { loop.stop(); });
+    loop.run();
+    REQUIRE(result);
+    CHECK(*result == order_result::not_sent);
+    CHECK(server.received() == 0);
+}
