--- a/src/control/control_daemon.cpp
+++ b/src/control/control_daemon.cpp
@@ -29,9 +29,10 @@
     , m_peers(std::move(peers))
     , m_leadership(loop, platform, m_settings, m_peers, [this](const std::string &encoded) { applyConfiguration(encoded, "peer"); })
     , m_gateway(loop, m_leadership, m_settings)
+    , m_relay(loop, platform.executors, m_settings.relays)
     , m_server(loop, m_peers, m_settings.peerAddress,
-               [this](const peer_identity &, wire::peer_message &message, const peer_server::reply_function &reply) {
-                   if (!m_leadership.handlePeer(message, reply)) {
+               [this](const peer_identity &peer, wire::peer_message &message, const peer_server::reply_function &reply) {
+                   if (!m_relay.handlePeer(peer, message, reply) && !m_leadership.handlePeer(message, reply)) {
                        m_log.warning("ignoring a peer message of an unknown kind");
                    }
                })
@@ -102,6 +103,8 @@
                             toSeconds(m_leadership.configurationAge())));
     metrics.push_back(
         gauge("parsleyglade_log_lines_left_out", "Log lines dropped because of the rate limit or a slow reader.", static_cast<double>(droppedLogLines())));
+    const std::vector<metric> relay = m_relay.metrics();
+    metrics.insert(metrics.end(), relay.begin(), relay.end());
     if (leader != nullptr) {
         metrics.push_back(gauge("parsleyglade_jobs", "Jobs known to the leader.", static_cast<double>(leader->state().jobCount())));
         const std::vector<metric> load = leader->loadMetrics();
@@ -115,6 +118,7 @@
 {
     m_isRetired = true;
     m_leadership.retire();
+    m_relay.leave();
 }
 
 void control_daemon::handleOperatorRecord(const store_record &record)
--- a/src/control/control_daemon.h
+++ b/src/control/control_daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/executor_relay.h"
 #include "control/leadership_task.h"
 #include "control/queue_lookup.h"
 #include "control/work_gateway.h"
@@ -38,7 +39,7 @@
     /** The metrics of this entry host in the text format of the metrics endpoint. */
     std::string metricsPage();
 
-    /** Resigns leadership permanently and makes isReady() false. Calls are still forwarded to the next leader. */
+    /** Resigns leadership permanently, gives up the duty of a relay and makes isReady() false. Calls are still forwarded to the next leader. */
     void retire();
 
 private:
@@ -53,6 +54,7 @@
     queue_configuration m_configuration;
     leadership_task m_leadership;
     work_gateway m_gateway;
+    executor_relay m_relay;
     peer_server m_server;
     topic_follower m_operators;
     std::size_t m_configurationBytes = 0; /**< Size of the operator record in force. */
--- a/src/control/control_settings.h
+++ b/src/control/control_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/relay_settings.h"
 #include "core/identifiers.h"
 #include "core/time_types.h"
 #include "scheduler/scheduler_settings.h"
@@ -15,6 +16,7 @@
     std::string peerAddress; /**< IP address and port at which the other entry hosts reach this one. */
     incarnation_id incarnation{};
     scheduler_settings scheduling;
+    relay_settings relays;
     double processorShare = 1.0; /**< Number of cores that this entry host may use. */
     double leaderProcessorShare = 0.25; /**< Number of cores needed to lead a large fleet. Entry hosts with fewer leave leadership to others. */
     duration maximumElectionDelay = std::chrono::milliseconds{400}; /**< Takeover delay at no processor share; zero from leaderProcessorShare on. */
--- a/src/control/leader_load.cpp
+++ b/src/control/leader_load.cpp
@@ -29,4 +29,14 @@
     return m_loopDelay;
 }
 
+relay_counters &leader_load::relays()
+{
+    return m_relays;
+}
+
+const relay_counters &leader_load::relays() const
+{
+    return m_relays;
+}
+
 } // namespace parsleyglade
--- a/src/control/leader_load.h
+++ b/src/control/leader_load.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/relay_counters.h"
 #include "core/time_types.h"
 #include "runtime/processor_clock.h"
 
@@ -20,11 +21,13 @@
     poll_responses,
     calls, /**< Submissions, queries and cancellations. */
     registry,
+    relay_encoding, /**< Messages with orders for relays. */
+    relay_results, /**< Results from relays, without what follows from them. */
 };
 
 /** Names of the parts, indexed by enum value. */
-constexpr std::array<std::string_view, 9> leaderPartNames{"decisions",       "hosts",          "journal", "actions", "polls",
-                                                          "order-responses", "poll-responses", "calls",   "registry"};
+constexpr std::array<std::string_view, 11> leaderPartNames{"decisions",      "hosts", "journal",  "actions",        "polls",        "order-responses",
+                                                           "poll-responses", "calls", "registry", "relay-encoding", "relay-results"};
 
 constexpr std::string_view name(leader_part part)
 {
@@ -64,9 +67,14 @@
     /** Sum of the delays of all rounds. It grows by a second each second when the event loop is always behind. */
     duration loopDelay() const;
 
+    /** Requests to executors by the way they took. */
+    relay_counters &relays();
+    const relay_counters &relays() const;
+
 private:
     std::array<part_load, leaderPartNames.size()> m_parts{};
     duration m_loopDelay{};
+    relay_counters m_relays;
 };
 
 } // namespace parsleyglade
--- a/src/control/leader_task.cpp
+++ b/src/control/leader_task.cpp
@@ -1,7 +1,6 @@
 #include "control/leader_task.h"
 
 #include <algorithm>
-#include <type_traits>
 
 namespace parsleyglade {
 
@@ -31,8 +30,9 @@
 
 } // namespace
 
-leader_task::leader_task(event_loop &loop, const platform_clients &platform, const control_settings &settings, control_metrics &metrics,
-                         std::unique_ptr<scheduler> restored, bool hasResigned, std::uint64_t takeoverOffset, std::uint64_t end, std::function<void()> ended)
+leader_task::leader_task(event_loop &loop, const platform_clients &platform, const control_settings &settings, const peer_settings &peers,
+                         control_metrics &metrics, std::unique_ptr<scheduler> restored, bool hasResigned, std::uint64_t takeoverOffset, std::uint64_t end,
+                         std::function<void()> ended)
     : m_loop(loop)
     , m_platform(platform)
     , m_settings(settings)
@@ -49,6 +49,7 @@
           })
     , m_ended(std::move(ended))
     , m_loadReporter(*m_scheduler, m_load)
+    , m_executors(loop, platform.executors, peers, settings.relays, m_load)
 {
     m_scheduler->lead(static_cast<std::int64_t>(takeoverOffset), m_loop.now(), m_loop.wallNow(), hasResigned);
     m_hosts.lead(static_cast<std::int64_t>(takeoverOffset));
@@ -89,6 +90,14 @@
     scheduleRun();
 }
 
+void leader_task::recordFollower(const wire::leader_probe &probe)
+{
+    constexpr double millicoresPerCore = 1000;
+    if (probe.leadingMillicores >= m_settings.leaderProcessorShare * millicoresPerCore) {
+        m_executors.recordCandidate(probe.peerAddress, probe.dataCentre);
+    }
+}
+
 void leader_task::call(const wire::work_call &call, reply_function reply)
 {
     if (m_hasEnded || m_isResigning || call.configurationVersion > m_scheduler->configuration().version) {
@@ -233,6 +242,7 @@
     }
     m_lastRun = m_loop.now();
     m_load.addLoopDelay(std::max(m_lastRun - m_runDueAt, duration::zero()));
+    m_executors.setFleetSize(m_scheduler->executorCount());
     expireDeferredCalls();
     decide();
     writeBatch();
@@ -256,26 +266,6 @@
     m_hosts.run();
 }
 
-void leader_task::performActions()
-{
-    const leader_load::scope scope(m_load, leader_part::actions);
-    std::vector<scheduler_action> actions = m_scheduler->takeActions();
-    for (scheduler_action &action : actions) {
-        perform(action);
-    }
-}
-
-void leader_task::sendPolls()
-{
-    if (!hasLeadershipLease() || m_isResigning) {
-        return;
-    }
-    const leader_load::scope scope(m_load, leader_part::polls);
-    for (const poll_order &order : m_scheduler->takePolls(m_loop.now())) {
-        sendPoll(order);
-    }
-}
-
 void leader_task::writeBatch()
 {
     const leader_load::scope scope(m_load, leader_part::journal);
@@ -313,81 +303,6 @@
     });
 }
 
-void leader_task::perform(scheduler_action &action)
-{
-    std::visit(
-        [this](auto &item) {
-            using item_type = std::decay_t<decltype(item)>;
-            if constexpr (std::is_same_v<item_type, start_order>) {
-                item.target.validUntil = leadershipLeaseEnd();
-                sendStart(item);
-            } else if constexpr (std::is_same_v<item_type, stop_order>) {
-                item.target.validUntil = leadershipLeaseEnd();
-                if (hasLeadershipLease()) {
-                    m_platform.executors.stop(item, [this, order = item, alive = alive()](const order_response &response) {
-                        if (alive.lock()) {
-                            m_scheduler->handleStopResponse(order, response, m_loop.now());
-                            scheduleRun();
-                        }
-                    });
-                } else {
-                    m_scheduler->handleStopResponse(item, order_response{}, m_loop.now());
-                }
-            } else if constexpr (std::is_same_v<item_type, pace_order>) {
-                item.target.validUntil = leadershipLeaseEnd();
-                if (hasLeadershipLease()) {
-                    m_platform.executors.pace(item, [](const order_response &) {
-                        // The next poll returns the pace in force; the scheduler repeats the order if it was not applied.
-                    });
-                }
-            } else if constexpr (std::is_same_v<item_type, call_response>) {
-                const auto found = m_pendingCalls.extract(item.token);
-                if (!found.empty()) {
-                    found.mapped()(item.reply);
-                }
-            } else {
-                m_metrics.countDecision(item.decision);
-                if (!m_decisions.acceptsInfo()) {
-                    return;
-                }
-                m_decisions.info(item.decision + (item.inputs.empty() ? "" : ' ' + item.inputs),
-                                 {{"job", item.job}, {"task", item.task}, {"executor", item.executor}, {"host", item.host}});
-            }
-        },
-        action);
-}
-
-void leader_task::sendStart(const start_order &order)
-{
-    const time_point sentAt = m_loop.now();
-    if (!hasLeadershipLease()) {
-        order_response notSent;
-        notSent.result = order_result::not_sent;
-        notSent.reason = "the leadership lease has expired";
-        m_scheduler->handleStartResponse(order, notSent, sentAt, sentAt);
-        return;
-    }
-    m_platform.executors.start(order, [this, order, sentAt, alive = alive()](const order_response &response) {
-        if (alive.lock()) {
-            const leader_load::scope scope(m_load, leader_part::order_responses);
-            m_scheduler->handleStartResponse(order, response, sentAt, m_loop.now());
-            scheduleRun();
-        }
-    });
-}
-
-void leader_task::sendPoll(const poll_order &order)
-{
-    const time_point sentAt = m_loop.now();
-    m_platform.executors.poll(order, [this, id = order.target.executor, sentAt, alive = alive()](const poll_response &response) {
-        if (alive.lock()) {
-            const leader_load::scope scope(m_load, leader_part::poll_responses);
-            m_scheduler->handlePollResponse(id, response, sentAt, m_loop.now());
-            scheduleRun();
-        }
-    });
-}
-
 void leader_task::handleRegistryRecord(const store_record &record)
 {
     const leader_load::scope scope(m_load, leader_part::registry);
--- a/src/control/leader_task.h
+++ b/src/control/leader_task.h
@@ -7,6 +7,7 @@
 #include "control/leader_load.h"
 #include "control/load_reporter.h"
 #include "control/platform_clients.h"
+#include "control/relayed_executors.h"
 #include "control/topic_follower.h"
 #include "runtime/event_loop.h"
 #include "scheduler/scheduler.h"
@@ -25,12 +26,13 @@
 public:
     using reply_function = std::function<void(const wire::work_reply &)>;
 
-    /** @param restored scheduler with the state loaded from the journal.
+    /** @param peers of the connections to relays; must outlive this object, as the other references.
+        @param restored scheduler with the state loaded from the journal.
         @param hasResigned whether the previous leader has resigned.
         @param takeoverOffset offset of this leader's takeover record, which is its fencing token.
         @param end offset at which the journal ends.
         @param ended called once, from the loop, when this entry host has stopped leading. */
-    leader_task(event_loop &loop, const platform_clients &platform, const control_settings &settings, control_metrics &metrics,
+    leader_task(event_loop &loop, const platform_clients &platform, const control_settings &settings, const peer_settings &peers, control_metrics &metrics,
                 std::unique_ptr<scheduler> restored, bool hasResigned, std::uint64_t takeoverOffset, std::uint64_t end, std::function<void()> ended);
     leader_task(const leader_task &) = delete;
     leader_task &operator=(const leader_task &) = delete;
@@ -42,6 +44,9 @@
     /** Adds a maintenance wave. A wave that is already known is left unchanged. */
     void setWave(const wave_request &request);
 
+    /** Takes note of another entry host that has probed this one, and may carry orders to executors. */
+    void recordFollower(const wire::leader_probe &probe);
+
     /** Handles a call.
         @param reply called exactly once, possibly before this function returns and at the latest on destruction: with the verdict not_leading when the
             call was certainly not carried out, with undecided when it may have been. */
@@ -86,7 +91,7 @@
     void writeBatch();
     void perform(scheduler_action &action);
     void sendStart(const start_order &order);
-    void sendPoll(const poll_order &order);
+    void sendPoll(poll_order &order);
     void handleRegistryRecord(const store_record &record);
     void end(const std::string &reason);
     bool hasLeadershipLease() const;
@@ -112,6 +117,7 @@
     time_point m_runDueAt{};
     leader_load m_load;
     load_reporter m_loadReporter;
+    relayed_executors m_executors;
     bool m_isRunScheduled = false;
     bool m_isResigning = false;
     bool m_hasEnded = false;
--- a/src/control/leadership_election.cpp
+++ b/src/control/leadership_election.cpp
@@ -77,6 +77,18 @@
     return couldLead ? static_cast<std::int32_t>(m_settings.processorShare * millicoresPerCore) : 0;
 }
 
+wire::peer_message leadership_task::makeProbe() const
+{
+    wire::leader_probe request;
+    request.configurationVersion = m_configuration.version;
+    request.peerAddress = m_settings.peerAddress;
+    request.leadingMillicores = leadingMillicores();
+    request.dataCentre = m_peers.dataCentre;
+    wire::peer_message message;
+    message.__set_probe(request);
+    return message;
+}
+
 /** Resigns if the sender of the probe has enough processor share to lead and this entry host has not. */
 void leadership_task::handOverIfBetterSuited(const wire::leader_probe &request)
 {
@@ -113,7 +125,7 @@
     m_link.reset();
     m_hasFollowedLeader = true;
     m_followedFence = static_cast<std::int64_t>(offset);
-    m_leader = std::make_unique<leader_task>(m_loop, m_platform, m_settings, m_metrics, std::move(restored), hasResigned, offset, offset + 1,
+    m_leader = std::make_unique<leader_task>(m_loop, m_platform, m_settings, m_peers, m_metrics, std::move(restored), hasResigned, offset, offset + 1,
                                              [this] { stopLeading(); });
     m_deferredProbeTimer = m_loop.every(m_settings.maximumProbeReplyDelay, [this] { replyToDeferredProbes(); });
     m_leader->setConfiguration(m_configuration);
--- a/src/control/leadership_task.cpp
+++ b/src/control/leadership_task.cpp
@@ -217,6 +217,9 @@
 void leadership_task::handleProbe(const wire::leader_probe &request, const peer_server::reply_function &reply)
 {
     recordMember(request.peerAddress);
+    if (m_leader) {
+        m_leader->recordFollower(request);
+    }
     m_puller.offer(request.peerAddress, request.configurationVersion);
     if (request.wantsConfiguration) {
         wire::peer_message response;
@@ -263,17 +266,6 @@
     }
 }
 
-wire::peer_message leadership_task::makeProbe() const
-{
-    wire::leader_probe request;
-    request.configurationVersion = m_configuration.version;
-    request.peerAddress = m_settings.peerAddress;
-    request.leadingMillicores = leadingMillicores();
-    wire::peer_message message;
-    message.__set_probe(request);
-    return message;
-}
-
 void leadership_task::recordMember(const std::string &address)
 {
     if (address.empty() || address == m_settings.peerAddress) {
--- a/src/control/load_reporter.cpp
+++ b/src/control/load_reporter.cpp
@@ -45,6 +45,11 @@
         + " waiting-tasks=" + std::to_string(status.waitingTasks) + " waiting-millicores=" + std::to_string(status.waitingMillicores);
 }
 
+std::string field(std::string_view key, std::uint64_t value, std::uint64_t last)
+{
+    return ' ' + std::string(key) + '=' + std::to_string(value - last);
+}
+
 counter_value toCounter(std::uint64_t count)
 {
     return counter_value{static_cast<double>(count)};
@@ -65,7 +70,7 @@
 
 void load_reporter::writeLines(time_point now)
 {
-    m_log.notice("leader" + describeWork() + describeParts());
+    m_log.notice("leader" + describeWork() + describeRelays() + describeParts());
     std::map<std::string, service_status> statuses = m_state.serviceStatuses(now);
     for (const auto &[service, counters] : m_state.counters().services) {
         statuses.try_emplace(service);
@@ -85,15 +90,22 @@
 std::string load_reporter::describeWork()
 {
     const scheduler_counters &current = m_state.counters();
-    const auto field = [](std::string_view key, std::uint64_t value, std::uint64_t last) {
-        return ' ' + std::string(key) + '=' + std::to_string(value - last);
-    };
     return field("rounds", current.rounds, m_lastCounters.rounds) + field("executor-visits", current.executorVisits, m_lastCounters.executorVisits)
         + field("candidate-visits", current.candidateVisits, m_lastCounters.candidateVisits) + field("job-visits", current.jobVisits, m_lastCounters.jobVisits)
         + field("polls", current.pollOrders, m_lastCounters.pollOrders) + field("batches", current.batches, m_lastCounters.batches)
         + field("batch-bytes", current.batchBytes, m_lastCounters.batchBytes);
 }
 
+std::string load_reporter::describeRelays()
+{
+    const relay_counters current = m_load.relays();
+    const relay_counters last = std::exchange(m_lastRelays, current);
+    return " relays=" + std::to_string(current.relays) + field("direct-orders", current.directOrders, last.directOrders)
+        + field("relayed-orders", current.relayedOrders, last.relayedOrders) + field("relayed-results", current.relayedResults, last.relayedResults)
+        + field("relay-unanswered", current.unansweredOrders, last.unansweredOrders) + field("relay-messages", current.messages, last.messages)
+        + field("relays-lost", current.lostRelays, last.lostRelays);
+}
+
 std::string load_reporter::describeParts()
 {
     std::string text;
@@ -127,6 +139,14 @@
     count.samples.push_back({{{"kind", "poll-orders"}}, toCounter(counters.pollOrders)});
     count.samples.push_back({{{"kind", "batches"}}, toCounter(counters.batches)});
     count.samples.push_back({{{"kind", "batch-bytes"}}, toCounter(counters.batchBytes)});
+    const relay_counters &relays = m_load.relays();
+    count.samples.push_back({{{"kind", "direct-orders"}}, toCounter(relays.directOrders)});
+    count.samples.push_back({{{"kind", "relayed-orders"}}, toCounter(relays.relayedOrders)});
+    count.samples.push_back({{{"kind", "relayed-results"}}, toCounter(relays.relayedResults)});
+    count.samples.push_back({{{"kind", "relay-unanswered"}}, toCounter(relays.unansweredOrders)});
+    count.samples.push_back({{{"kind", "relay-messages"}}, toCounter(relays.messages)});
+    count.samples.push_back({{{"kind", "relays-lost"}}, toCounter(relays.lostRelays)});
+    const metric inUse{"parsleyglade_leader_relays", "Relays that carry orders of the leader.", {{{}, gauge_value{static_cast<double>(relays.relays)}}}};
 
     metric runs{"parsleyglade_service_runs_total", "Start orders, ends and losses of runs since the leader took over, by service.", {}};
     metric jobs{"parsleyglade_service_jobs_total", "Jobs accepted, refused and started since the leader took over, by service.", {}};
@@ -149,7 +169,7 @@
         waiting.samples.push_back({{{"service", service}}, toGauge(status.waitingTasks)});
         free.samples.push_back({{{"service", service}}, toGauge(status.freeMillicores)});
     }
-    return {time, count, runs, jobs, delay, waiting, free};
+    return {time, count, inUse, runs, jobs, delay, waiting, free};
 }
 
 } // namespace parsleyglade
--- a/src/control/load_reporter.h
+++ b/src/control/load_reporter.h
@@ -27,11 +27,13 @@
 private:
     std::string describeParts();
     std::string describeWork();
+    std::string describeRelays();
 
     const scheduler &m_state;
     const leader_load &m_load;
     std::array<leader_load::part_load, leaderPartNames.size()> m_lastParts{};
     duration m_lastLoopDelay{};
+    relay_counters m_lastRelays;
     scheduler_counters m_lastCounters;
     logger m_log{"load"};
 };
--- a/src/scheduler/executor_orders.h
+++ b/src/scheduler/executor_orders.h
@@ -20,6 +20,7 @@
     std::string address; /**< IP address and port. */
     std::int64_t fence = 0; /**< Fencing token of the leader. An executor rejects tokens lower than the highest that it has received. */
     time_point validUntil = time_point::max(); /**< When the leadership lease expires under which the order was given. It is not sent afterwards. */
+    std::string dataCentre{}; /**< Of the executor; empty if unknown. */
 };
 
 /** Order to start one run of a task. Idempotent: a run that is already running is confirmed again. */
--- a/src/scheduler/scheduler_executors.cpp
+++ b/src/scheduler/scheduler_executors.cpp
@@ -119,7 +119,7 @@
 
 order_target scheduler::targetOf(const executor_state &executor) const
 {
-    return {executor.description.id, executor.description.address, m_fence};
+    return {executor.description.id, executor.description.address, m_fence, time_point::max(), executor.description.dataCentre};
 }
 
 void scheduler::updateClock(executor_state &executor, std::int64_t clockMilliseconds, time_point now) const
