--- a/src/entry/peer_task.cpp
+++ b/src/entry/peer_task.cpp
@@ -133,7 +133,8 @@
     if (message.__isset.beat) {
         handleHeartbeat(peer, message.beat);
         // The empty reply keeps an idle session alive: the connecting side gets no other frames and would time out.
-        reply({});
+        wire::peer_message answer;
+        reply(answer);
         return;
     }
     if (m_handler) {
--- a/src/transport/peer_server.cpp
+++ b/src/transport/peer_server.cpp
@@ -70,7 +70,7 @@
 void peer_server::peerMessage(const std::shared_ptr<peer_session> &session, wire::peer_message &message)
 {
     const std::int64_t id = message.id;
-    m_handler(session->identity(), message, [weak = std::weak_ptr<peer_session>(session), id](wire::peer_message reply) {
+    m_handler(session->identity(), message, [weak = std::weak_ptr<peer_session>(session), id](wire::peer_message &reply) {
         if (const auto open = weak.lock()) {
             reply.id = id;
             reply.isReply = true;
--- a/src/transport/peer_server.h
+++ b/src/transport/peer_server.h
@@ -17,9 +17,9 @@
 class peer_server : private peer_session::listener
 {
 public:
-    /** Sends the reply to one request, whose id it sets. Called at any later time; does nothing when the session has been closed. Called at most once,
-        except for messages of a subscription of the peer's link, which may get any number of replies. */
-    using reply_function = std::function<void(wire::peer_message)>;
+    /** Sends the reply to one request, and sets the id of the message for that. Called at any later time; does nothing when the session has been closed. Called
+       at most once, except for messages of a subscription of the peer's link, which may get any number of replies. */
+    using reply_function = std::function<void(wire::peer_message &)>;
     /** Called with each message of an authenticated peer, on the loop's thread. */
     using request_handler = std::function<void(const peer_identity &, wire::peer_message &, reply_function)>;
 
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -4,6 +4,8 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <optional>
+
 namespace parsleyglade {
 
 namespace {
@@ -25,20 +27,11 @@
     return {result_code::corrupt_record, std::move(reason), {}};
 }
 
-} // namespace
-
-template <typename Message> std::string encode(const Message &message)
-{
-    const auto buffer = std::make_shared<TMemoryBuffer>(thriftConfiguration());
-    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
-    message.write(&protocol);
-    return buffer->getBufferAsString();
-}
-
-template <typename Message> outcome<Message> decode(std::string_view bytes)
+/** Reads a complete message. Returns why the bytes are not one, or nothing. */
+template <typename Message> std::optional<std::string> readMessage(std::string_view bytes, Message &message)
 {
     if (bytes.empty() || bytes.size() > maximumMessageBytes) {
-        return corruptRecord("the message is empty or exceeds the size limit");
+        return "the message is empty or exceeds the size limit";
     }
 
     try {
@@ -46,15 +39,34 @@
         auto *data = reinterpret_cast<std::uint8_t *>(const_cast<char *>(bytes.data())); // NOLINT(cppcoreguidelines-pro-type-const-cast)
         const auto buffer = std::make_shared<TMemoryBuffer>(data, static_cast<std::uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE, thriftConfiguration());
         TCompactProtocolT<TMemoryBuffer> protocol(buffer, static_cast<int>(bytes.size()), static_cast<int>(bytes.size()));
-        Message message;
         message.read(&protocol);
         if (buffer->available_read() != 0) {
-            return corruptRecord("the message has trailing bytes");
+            return "the message has trailing bytes";
         }
-        return message;
     } catch (const std::exception &error) {
-        return corruptRecord(std::string("the message can't be decoded: ") + error.what());
+        return std::string("the message can't be decoded: ") + error.what();
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+template <typename Message> std::string encode(const Message &message)
+{
+    const auto buffer = std::make_shared<TMemoryBuffer>(thriftConfiguration());
+    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+    message.write(&protocol);
+    return buffer->getBufferAsString();
+}
+
+template <typename Message> outcome<Message> decode(std::string_view bytes)
+{
+    // The generated types can only be copied, so the message is read where it is returned.
+    outcome<Message> result{Message()};
+    if (const auto fault = readMessage(bytes, *result)) {
+        result = corruptRecord(*fault);
     }
+    return result;
 }
 
 template std::string encode(const wire::claim_batch &);
