--- a/src/control/relay_link.cpp
+++ b/src/control/relay_link.cpp
@@ -27,6 +27,13 @@
     return completion<poll_response>{std::move(std::get<relay_link::poll_callback>(done)), decodePollResponse(result)};
 }
 
+/** Whether the executor has responded. */
+bool isContact(const wire::relay_result &result)
+{
+    const order_result code = decodeOrderResponse(result).result;
+    return !isUnsent(code) && code != order_result::unanswered;
+}
+
 } // namespace
 
 relay_link::relay_link(event_loop &loop, const peer_settings &peers, const relay_settings &settings, leader_load &load, std::string address, listener &events)
@@ -240,7 +247,10 @@
             if (node.empty()) {
                 continue; // it has timed out
             }
-            m_pollsInFlight -= std::holds_alternative<poll_callback>(node.mapped().done) ? 1 : 0;
+            if (std::holds_alternative<poll_callback>(node.mapped().done)) {
+                --m_pollsInFlight;
+                m_failedPolls = isContact(result) ? 0 : m_failedPolls + 1;
+            }
             completions.push_back(makeCompletion(std::move(node.mapped().done), result));
         }
         m_load.relays().relayedResults += completions.size();
@@ -248,6 +258,9 @@
     for (any_completion &item : completions) {
         std::visit([](auto &ready) { ready.done(std::move(ready.response)); }, item);
     }
+    if (m_failedPolls >= m_settings.maximumFailedPolls && m_state != link_state::lost) {
+        lose("its executors do not respond to it");
+    }
 }
 
 void relay_link::checkTimeouts()
--- a/src/control/relay_link.h
+++ b/src/control/relay_link.h
@@ -110,6 +110,7 @@
     std::int64_t m_nextNumber; /**< Numbers start at the time of construction, so that those of two links of a process differ. */
     std::unordered_map<std::int64_t, pending_order> m_pending;
     std::size_t m_pollsInFlight = 0;
+    std::size_t m_failedPolls = 0; /**< Since the last poll that got a list. */
     wire::peer_message m_batch; /**< Message under construction; its vectors keep their capacity. */
     std::size_t m_batchBytes = 0;
     time_point m_batchValidUntil = time_point::max();
--- a/tests/control/relayed_executors_test.cpp
+++ b/tests/control/relayed_executors_test.cpp
@@ -248,6 +248,30 @@
     CHECK(fixture.pollResponses[0].result == order_result::unanswered);
 }
 
+// Guards against executors that are given up because the relay, and not the leader, is cut off from them.
+TEST_CASE("a relay whose executors do not respond is replaced", "[relay]")
+{
+    relay_fixture fixture;
+    relay_host &relay = fixture.addRelay();
+    REQUIRE(fixture.awaitRelays(1));
+    const std::size_t polls = fixture.settings.maximumFailedPolls;
+    for (std::size_t number = 0; number < polls; ++number) {
+        fixture.poll("executor-" + std::to_string(number));
+    }
+    runUntil(fixture.loop, 1s, [&] { return relay.executors.polls.size() == polls; });
+    REQUIRE(relay.executors.polls.size() == polls);
+    const bool hasContact = GENERATE(false, true);
+    for (std::size_t number = 0; number < polls; ++number) {
+        poll_response response;
+        response.result = hasContact && number == polls / 2 ? order_result::done : order_result::unreachable;
+        relay.executors.polls[number].second(response);
+    }
+    runUntil(fixture.loop, 1s, [&] { return fixture.pollResponses.size() == polls; });
+    REQUIRE(fixture.pollResponses.size() == polls);
+    fixture.poll();
+    CHECK(fixture.direct.polls.size() == (hasContact ? 0 : 1));
+}
+
 // Guards against results that are matched by position.
 TEST_CASE("results may come in any order, repeated, or for unknown numbers", "[relay]")
 {
