--- a/src/control/relay_link.cpp
+++ b/src/control/relay_link.cpp
@@ -1,6 +1,7 @@
 #include "control/relay_link.h"
 
 #include "control/relay_messages.h"
+#include "core/digest.h"
 
 #include <algorithm>
 #include <utility>
@@ -41,6 +42,7 @@
     , m_settings(settings)
     , m_load(load)
     , m_address(std::move(address))
+    , m_hashSeed(hash64(m_address))
     , m_listener(events)
     , m_link(loop, peers, m_address, [this](bool isReady) { handleLinkState(isReady); })
     , m_openedAt(loop.now())
@@ -56,6 +58,11 @@
     return m_address;
 }
 
+std::uint64_t relay_link::hashSeed() const
+{
+    return m_hashSeed;
+}
+
 relay_link::link_state relay_link::state() const
 {
     return m_state;
--- a/src/control/relay_link.h
+++ b/src/control/relay_link.h
@@ -61,6 +61,9 @@
     const std::string &address() const;
     link_state state() const;
 
+    /** Hash of the address, with which executors are assigned to relays. */
+    std::uint64_t hashSeed() const;
+
     /** Number of orders and polls without a result. */
     std::size_t ordersInFlight() const;
 
@@ -100,6 +103,7 @@
     const relay_settings &m_settings;
     leader_load &m_load;
     std::string m_address;
+    std::uint64_t m_hashSeed;
     listener &m_listener;
     link_state m_state = link_state::opening;
     peer_link m_link;
--- a/src/control/relayed_executors.cpp
+++ b/src/control/relayed_executors.cpp
@@ -27,9 +27,7 @@
 
 void relayed_executors::recordCandidate(const std::string &address, const std::string &dataCentre)
 {
-    data_centre &centre = m_dataCentres[dataCentre];
-    centre.candidates[address] = m_loop.now();
-    openLinks(centre);
+    m_dataCentres[dataCentre].candidates[address] = m_loop.now();
 }
 
 void relayed_executors::start(const start_order &order, std::function<void(order_response)> done)
@@ -75,8 +73,11 @@
     std::uint64_t highest = 0;
     if (const auto found = m_dataCentres.find(target.dataCentre); found != m_dataCentres.end()) {
         for (const auto &link : found->second.links) {
-            const std::uint64_t weight = hash64(target.executor, hash64(link->address()));
-            if (link->state() == relay_link::link_state::ready && (chosen == nullptr || weight > highest)) {
+            if (link->state() != relay_link::link_state::ready) {
+                continue;
+            }
+            const std::uint64_t weight = hash64(target.executor, link->hashSeed());
+            if (chosen == nullptr || weight > highest) {
                 chosen = link.get();
                 highest = weight;
             }
@@ -154,7 +155,7 @@
 void relayed_executors::relayLeaving(const relay_link &link)
 {
     m_log.notice("relay no longer in use",
-                 {{"relay", link.address()}, {"reason", "it shuts down"}, {"orders", link.ordersInFlight()}, {"executors", link.pollsInFlight()}});
+                 {{"relay", link.address()}, {"reason", "it takes no further orders"}, {"orders", link.ordersInFlight()}, {"executors", link.pollsInFlight()}});
     for (auto &[name, centre] : m_dataCentres) {
         centre.candidates.erase(link.address()); // until it probes again, which it does not while it shuts down
     }
--- a/src/control/relayed_executors.h
+++ b/src/control/relayed_executors.h
@@ -25,7 +25,8 @@
     /** Sets the number of executors. Relays are used from the first time that it reaches relay_settings::minimumFleet. */
     void setFleetSize(std::size_t executors);
 
-    /** Records that an entry host with the processor share of a relay is alive. */
+    /** Records that an entry host with the processor share of a relay is alive. Relays are chosen at intervals, so that the candidates that are known by
+        then, and not the first one that happens to report, are considered. */
     void recordCandidate(const std::string &address, const std::string &dataCentre);
 
     void start(const start_order &order, std::function<void(order_response)> done) override;
