--- a/src/control/executor_relay.cpp
+++ b/src/control/executor_relay.cpp
@@ -36,7 +36,7 @@
         m_sessions.erase(std::min_element(m_sessions.begin(), m_sessions.end(),
                                           [](const auto &left, const auto &right) { return left.second->lastMessageAt() < right.second->lastMessageAt(); }));
     }
-    const auto session = std::make_shared<relay_session>(m_loop, m_executors, m_settings, m_work, peer.entryHost);
+    auto session = std::make_shared<relay_session>(m_loop, m_executors, m_settings, m_work, peer.entryHost);
     if (m_isLeaving) {
         session->leave();
     }
