--- a/tests/control/relayed_burst_test.cpp
+++ b/tests/control/relayed_burst_test.cpp
@@ -122,7 +122,8 @@
 
     entry_host &leader()
     {
-        return *entryHosts.front();
+        const auto found = std::find_if(entryHosts.begin(), entryHosts.end(), [](const auto &host) { return host->isLeading(); });
+        return found == entryHosts.end() ? *entryHosts.front() : **found;
     }
 
     /** Whether every entry host but the leader has sent starts and polls. */
@@ -158,9 +159,14 @@
         return leaderMetric("parsleyglade_leader_work_total{kind=\"" + kind + "\"}");
     }
 
+    long relayCount()
+    {
+        return leaderMetric("parsleyglade_leader_relays");
+    }
+
     bool hasAllRelays()
     {
-        return leaderMetric("parsleyglade_leader_relays") == 2L * dataCentres;
+        return relayCount() == 2L * dataCentres;
     }
 
     event_loop loop;
@@ -218,3 +224,26 @@
         CHECK(retired(number).executors.starts == startsBefore[number]);
     }
 }
+
+// Guards against a successor that keeps sending directly, and against relays that obey the former leader only.
+TEST_CASE("after a change of leader the burst goes through relays again", "[control][relay]")
+{
+    large_deployment deployment;
+    REQUIRE(deployment.hasAllRelays());
+    entry_host &former = deployment.leader();
+    former.daemon->retire();
+    runUntil(deployment.loop, 10s, [&] { return !former.isLeading() && deployment.leader().isLeading(); });
+    entry_host &successor = deployment.leader();
+    REQUIRE(successor.isLeading());
+    REQUIRE(&successor != &former);
+
+    // The successor is no relay of its own, and the former leader shuts down.
+    runUntil(deployment.loop, 5s, [&] { return deployment.relayCount() == 2L * dataCentres - 1; });
+    CHECK(deployment.relayCount() == 2L * dataCentres - 1);
+    const std::size_t startsBefore = successor.executors.starts;
+    deployment.startBurst();
+    REQUIRE(deployment.fleet.starts >= std::size_t{jobs} * tasksOfJob);
+    CHECK(deployment.leader().isLeading());
+    CHECK(successor.executors.starts == startsBefore);
+    CHECK(former.executors.starts == 0);
+}
