--- a/src/control/leadership_election.cpp
+++ b/src/control/leadership_election.cpp
@@ -165,8 +165,8 @@
     m_followedFence = static_cast<std::int64_t>(offset);
     std::erase(m_successors, m_settings.peerAddress);
     m_choice.start(std::exchange(m_successors, {}), m_loop.now());
-    m_leader = std::make_unique<leader_task>(m_loop, m_platform, m_settings, m_metrics, std::move(loaded.restored), loaded.hasResigned, offset, offset + 1,
-                                             [this] { stopLeading(); });
+    m_leader = std::make_unique<leader_task>(m_loop, m_platform, m_settings, m_peers, m_metrics, std::move(loaded.restored), loaded.hasResigned, offset,
+                                             offset + 1, [this] { stopLeading(); });
     m_leader->onStoreRefusal([this] { handleStoreRefusal(); });
     m_deferredProbeTimer = m_loop.every(m_settings.maximumProbeReplyDelay, [this] {
         chooseSuccessors();
--- a/src/control/leadership_task.cpp
+++ b/src/control/leadership_task.cpp
@@ -217,6 +217,9 @@
 void leadership_task::handleProbe(const wire::leader_probe &request, const peer_server::reply_function &reply)
 {
     recordProbe(request);
+    if (m_leader) {
+        m_leader->recordFollower(request);
+    }
     m_puller.offer(request.peerAddress, request.configurationVersion);
     if (request.wantsConfiguration) {
         wire::peer_message response;
