--- a/src/control/control_metrics.cpp
+++ b/src/control/control_metrics.cpp
@@ -2,9 +2,14 @@
 
 namespace parsleyglade {
 
-void control_metrics::countDecision(const std::string &decision)
+void control_metrics::countDecision(std::string_view decision)
 {
-    ++m_decisions[decision];
+    const auto found = m_decisions.find(decision);
+    if (found != m_decisions.end()) {
+        ++found->second;
+    } else {
+        m_decisions.emplace(decision, 1);
+    }
 }
 
 void control_metrics::countCall(const std::string &kind, const std::string &outcome, duration latency)
--- a/src/control/control_metrics.h
+++ b/src/control/control_metrics.h
@@ -4,8 +4,10 @@
 #include "reports/latency_histogram.h"
 #include "reports/metric.h"
 
+#include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace parsleyglade {
@@ -15,7 +17,7 @@
 {
 public:
     /** Counts a decision of the scheduler. @param decision its name, as in the log */
-    void countDecision(const std::string &decision);
+    void countDecision(std::string_view decision);
 
     /** Counts a call that has ended. @param kind kind of the call @param outcome result returned to the caller */
     void countCall(const std::string &kind, const std::string &outcome, duration latency);
@@ -30,7 +32,7 @@
     std::vector<metric> collect() const;
 
 private:
-    std::map<std::string, std::uint64_t> m_decisions;
+    std::map<std::string, std::uint64_t, std::less<>> m_decisions;
     std::map<std::pair<std::string, std::string>, std::uint64_t> m_calls;
     std::map<std::string, latency_histogram> m_callLatency; /**< Keyed by the kind of call. */
     latency_histogram m_appendLatency;
--- a/src/control/leader_task.cpp
+++ b/src/control/leader_task.cpp
@@ -350,8 +350,9 @@
                 if (!m_decisions.acceptsInfo()) {
                     return;
                 }
-                m_decisions.info(item.decision + (item.inputs.empty() ? "" : ' ' + item.inputs),
-                                 {{"job", item.job}, {"task", item.task}, {"executor", item.executor}, {"host", item.host}});
+                const std::string inputs = item.inputText();
+                m_decisions.info(std::string(item.decision) + (inputs.empty() ? "" : ' ' + inputs),
+                                 {{"job", item.jobText()}, {"task", item.taskText()}, {"executor", item.executor}, {"host", item.host}});
             }
         },
         action);
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -44,11 +44,6 @@
 
 } // namespace
 
-std::string toText(const task_id &task)
-{
-    return task.job + '.' + std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.' + std::to_string(task.index);
-}
-
 scheduler::scheduler(scheduler_settings settings)
     : m_settings(settings)
 {
@@ -175,7 +170,7 @@
     for (auto &[id, executor] : m_executors) {
         touch(executor);
     }
-    addDecision("lead", {}, {}, {}, "fence=" + std::to_string(fence) + " jobs=" + std::to_string(m_jobs.size()) + " active=" + std::to_string(m_active.size()));
+    addDecision("lead", {}, {}, "fence=" + std::to_string(fence) + " jobs=" + std::to_string(m_jobs.size()) + " active=" + std::to_string(m_active.size()));
     endExhaustedJobs();
 }
 
@@ -211,7 +206,7 @@
     }
     if (m_active.size() >= m_settings.maximumJobs) {
         ++countersOf(queue->service).refusedJobs;
-        addDecision("refuse", job, {}, {}, "active=" + std::to_string(m_active.size()) + " limit=" + std::to_string(m_settings.maximumJobs));
+        addDecision("refuse", job, {}, "active=" + std::to_string(m_active.size()) + " limit=" + std::to_string(m_settings.maximumJobs));
         refuse(token, "too many unfinished jobs", m_settings.refusalDelay);
         return;
     }
@@ -232,7 +227,7 @@
     const double expectedWork = static_cast<double>(declaredWork(accepted.work)) * runTimeRatio(queue->name);
     m_arrivals.try_emplace(queue->service, m_settings.arrivalWindow).first->second.add(m_now, static_cast<std::int64_t>(expectedWork));
     m_admission.addAccepted(queue->service, expectedWork);
-    addDecision("accept", job, {}, {}, "queue=" + accepted.work.queue + " configuration=" + std::to_string(m_configuration.version));
+    addDecision("accept", job, {}, "queue=" + accepted.work.queue + " configuration=" + std::to_string(m_configuration.version));
     respondWhenRecorded(token, accepted);
 }
 
@@ -258,7 +253,7 @@
         return;
     }
     if (!isFinal(known->state)) {
-        addDecision("cancel", job, {}, {}, "state=" + std::string(name(known->state)));
+        addDecision("cancel", job, {}, "state=" + std::string(name(known->state)));
         finish(*known, work_state::cancelled, now);
     }
     respondWhenRecorded(token, *known);
@@ -310,9 +305,9 @@
     return m_confirmedBatch;
 }
 
-void scheduler::addHostDecision(std::string decision, const std::string &host, std::string inputs)
+void scheduler::addHostDecision(std::string_view decision, const std::string &host, std::string inputs)
 {
-    m_actions.emplace_back(decision_entry{std::move(decision), {}, {}, {}, host, std::move(inputs)});
+    m_actions.emplace_back(decision_entry{decision, {}, {}, {}, host, std::move(inputs)});
 }
 
 std::vector<scheduler_action> scheduler::takeActions()
@@ -405,9 +400,19 @@
     }
 }
 
-void scheduler::addDecision(std::string decision, const std::string &job, std::string task, std::string executor, std::string inputs)
+void scheduler::addDecision(std::string_view decision, const std::string &job, const std::string &executor, std::string inputs)
+{
+    m_actions.emplace_back(decision_entry{decision, job, {}, executor, {}, std::move(inputs)});
+}
+
+void scheduler::addTaskDecision(std::string_view decision, const task_id &task, const std::string &executor, std::string inputs)
+{
+    m_actions.emplace_back(decision_entry{decision, {}, task, executor, {}, std::move(inputs)});
+}
+
+void scheduler::addTaskDecision(std::string_view decision, const task_id &task, const std::string &executor, const decision_entry::input_list &inputs)
 {
-    m_actions.emplace_back(decision_entry{std::move(decision), job, std::move(task), std::move(executor), {}, std::move(inputs)});
+    m_actions.emplace_back(decision_entry{decision, {}, task, executor, {}, {}, inputs});
 }
 
 void scheduler::markChanged(scheduled_job &job)
@@ -421,7 +426,7 @@
 
 void scheduler::finish(scheduled_job &job, work_state state, wall_time now)
 {
-    addDecision("finish", job.id, {}, {}, "state=" + std::string(name(state)));
+    addDecision("finish", job.id, {}, "state=" + std::string(name(state)));
     job.state = state;
     job.finishedAt = now;
     std::erase(m_active, &job);
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -143,8 +143,8 @@
     /** Returns the number of the last batch that the journal has confirmed. */
     std::uint64_t confirmedBatch() const;
 
-    /** Adds a decision about a host to the actions, to be logged. @param inputs key=value pairs */
-    void addHostDecision(std::string decision, const std::string &host, std::string inputs);
+    /** Adds a decision about a host to the actions, to be logged. @param decision a constant @param inputs key=value pairs */
+    void addHostDecision(std::string_view decision, const std::string &host, std::string inputs);
 
     /** Whether an executor has rejected an order because it has received a higher fencing token. The owner must then stop leading. */
     bool isDeposed() const;
@@ -231,13 +231,15 @@
     void refuse(call_token token, const std::string &reason, duration retryDelay);
     void respondWithState(call_token token, const scheduled_job &job);
     void respondWhenRecorded(call_token token, const scheduled_job &job);
-    void addDecision(std::string decision, const std::string &job, std::string task = {}, std::string executor = {}, std::string inputs = {});
+    void addDecision(std::string_view decision, const std::string &job, const std::string &executor, std::string inputs);
+    void addTaskDecision(std::string_view decision, const task_id &task, const std::string &executor, std::string inputs);
+    void addTaskDecision(std::string_view decision, const task_id &task, const std::string &executor, const decision_entry::input_list &inputs);
     void markChanged(scheduled_job &job);
     void finish(scheduled_job &job, work_state state, wall_time now);
 
     // runs
     void attachRun(executor_state &executor, scheduled_job &job, const run_key &key);
-    void releaseRun(run_key key); // by value: callers pass elements of the list that it erases from
+    void releaseRun(const run_key &key);
     void releaseRun(scheduled_job &job, const run_key &key);
     void endRun(executor_state &executor, const finished_entry &entry, time_point now);
     void applyEnd(scheduled_job &job, const task_id &taskId, scheduled_task &task, const finished_entry &entry, executor_state &executor, time_point now);
@@ -383,7 +385,4 @@
     time_point m_leadingSince{};
 };
 
-/** Formats a task as JOB.OCCURRENCE.STEP.INDEX for logs. */
-std::string toText(const task_id &task);
-
 } // namespace parsleyglade
--- a/src/scheduler/scheduler_action.h
+++ b/src/scheduler/scheduler_action.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "scheduler/decision_entry.h"
 #include "scheduler/executor_orders.h"
 #include "wire/wire.h"
 
@@ -20,17 +21,6 @@
     wire::work_reply reply;
 };
 
-/** A decision to be logged, with its subject and the inputs that led to it. */
-struct decision_entry
-{
-    std::string decision;
-    std::string job;
-    std::string task; /**< Empty if the decision is not about a single task. */
-    std::string executor; /**< Empty if no executor is concerned. */
-    std::string host; /**< Empty if the decision is not about a host. */
-    std::string inputs; /**< key=value pairs. */
-};
-
 /** An action for the owner of the scheduler to carry out. */
 using scheduler_action = std::variant<start_order, stop_order, pace_order, call_response, decision_entry>;
 
--- a/src/scheduler/scheduler_admission.cpp
+++ b/src/scheduler/scheduler_admission.cpp
@@ -36,7 +36,7 @@
         const auto toText = [](duration time) {
             return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
         };
-        addDecision("refuse", job, {}, {},
+        addDecision("refuse", job, {},
                     "queue=" + queue.name + " expected-wait=" + toText(m_admission.expectedWait(queue.service)) + " wait-limit=" + toText(capacityLimit)
                         + " control-delay=" + toText(m_admission.controlDelay(starts)) + " delay-limit=" + toText(controlLimit)
                         + " retry-after=" + toText(*retryDelay));
--- a/src/scheduler/scheduler_ends.cpp
+++ b/src/scheduler/scheduler_ends.cpp
@@ -20,8 +20,8 @@
     if (run == nullptr) {
         return;
     }
-    addDecision("end", entry.task.job, toText(entry.task), executor.description.id,
-                "run=" + std::to_string(entry.run) + " end=" + std::string(name(entry.end)) + " number=" + std::to_string(entry.number));
+    addTaskDecision("end", entry.task, executor.description.id,
+                    decision_entry::input_list{{{"run", entry.run}, {"end", 0, name(entry.end)}, {"number", entry.number}}});
     scheduled_job &job = *known->job;
     ++countersOf(job).ends.at(static_cast<std::size_t>(entry.end));
     const wire::step_record &step = job.work.steps[static_cast<std::size_t>(entry.task.step)];
@@ -95,8 +95,8 @@
     }
     const queue_policy *queue = queueOf(job);
     if (queue == nullptr) {
-        addDecision("attempts-unknown", job.id, toText(taskId), {},
-                    "failures=" + std::to_string(failures) + " queue=" + job.work.queue + " configuration=" + std::to_string(m_configuration.version));
+        addTaskDecision("attempts-unknown", taskId, {},
+                        "failures=" + std::to_string(failures) + " queue=" + job.work.queue + " configuration=" + std::to_string(m_configuration.version));
         return false;
     }
     return failures >= std::max(queue->maximumAttempts, 1);
@@ -136,7 +136,7 @@
     }
     executor.lastFailedJob = job;
     if (++executor.consecutiveFailures >= m_settings.ejectionFailures) {
-        addDecision("eject", {}, {}, executor.description.id, "failures=" + std::to_string(executor.consecutiveFailures));
+        addDecision("eject", {}, executor.description.id, "failures=" + std::to_string(executor.consecutiveFailures));
         executor.avoidUntil = now + m_settings.ejectionTime;
         executor.consecutiveFailures = m_settings.ejectionFailures - 1;
     }
--- a/src/scheduler/scheduler_evacuation.cpp
+++ b/src/scheduler/scheduler_evacuation.cpp
@@ -40,7 +40,7 @@
         return;
     }
     found->second.isHostUp = isUp;
-    addDecision(isUp ? "host-up" : "host-not-up", {}, {}, executor, "runs=" + std::to_string(found->second.runs.size()));
+    addDecision(isUp ? "host-up" : "host-not-up", {}, executor, "runs=" + std::to_string(found->second.runs.size()));
     touch(found->second);
 }
 
@@ -78,8 +78,8 @@
         const step_availability others = isLimited ? availabilityOfOthers(job, key.task, now) : step_availability{};
         const bool isPermitted = !isLimited || others.unavailable < step.maximumAway;
         if (isPermitted && (!step.longRunning || hasAlternativeExecutor(job, key.task, executor, now))) {
-            addDecision("evict", key.task.job, toText(key.task), executor.description.id,
-                        "run=" + std::to_string(key.run) + ' ' + describe(others, step.maximumAway, now - m_leadingSince));
+            addTaskDecision("evict", key.task, executor.description.id,
+                            "run=" + std::to_string(key.run) + ' ' + describe(others, step.maximumAway, now - m_leadingSince));
             stopRun(*run, now);
         }
     }
--- a/src/scheduler/scheduler_executors.cpp
+++ b/src/scheduler/scheduler_executors.cpp
@@ -28,7 +28,7 @@
     executor.description.boot = boot;
     executor.bootKnownAt = now;
     if (!isFirst) {
-        addDecision("new-boot", {}, {}, executor.description.id, "boot=" + std::to_string(boot) + " runs=" + std::to_string(executor.runs.size()));
+        addDecision("new-boot", {}, executor.description.id, "boot=" + std::to_string(boot) + " runs=" + std::to_string(executor.runs.size()));
         handleRunsOfEarlierBoot(executor, now);
     }
     for (unanswered_start &order : executor.unansweredStarts) {
@@ -78,8 +78,8 @@
             run->phaseStartedAt = now;
             run->isOrderInFlight = false;
         }
-        addDecision("run-kept", key.task.job, toText(key.task), executor.description.id,
-                    "run=" + std::to_string(key.run) + " phase=" + std::string(name(run->phase)) + " boot=" + std::to_string(run->boot));
+        addTaskDecision("run-kept", key.task, executor.description.id,
+                        "run=" + std::to_string(key.run) + " phase=" + std::string(name(run->phase)) + " boot=" + std::to_string(run->boot));
         markChanged(*key.job);
     }
 }
@@ -100,7 +100,7 @@
     if (found != m_executors.end()) {
         executor_state &executor = found->second;
         const auto contactAge = std::chrono::duration_cast<std::chrono::milliseconds>(m_now - executor.lastContactAt);
-        addDecision("executor-removed", {}, {}, id, "runs=" + std::to_string(executor.runs.size()) + " contact-ms=" + std::to_string(contactAge.count()));
+        addDecision("executor-removed", {}, id, "runs=" + std::to_string(executor.runs.size()) + " contact-ms=" + std::to_string(contactAge.count()));
         executor.isListed = false;
         touch(executor);
     }
@@ -162,7 +162,7 @@
     const std::string &id = executor.description.id;
     m_leaseRecords[id] = {expiry, false};
     m_changedLeaseRecords.insert(id);
-    addDecision("longest-lease", {}, {}, id,
+    addDecision("longest-lease", {}, id,
                 "runs=" + std::to_string(executor.runs.size())
                     + " forMs=" + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(expiry - m_now).count()));
 }
@@ -188,7 +188,7 @@
         if (found != m_executors.end()) {
             time_point &current = found->second.leaseExpiry;
             current = hasResigned && record.lost ? expiry : std::max(current, expiry);
-            addDecision("lease-restored", {}, {}, id,
+            addDecision("lease-restored", {}, id,
                         "recordedMs=" + std::to_string(record.leaseMilliseconds) + " lost=" + std::to_string(record.lost ? 1 : 0)
                             + " forMs=" + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(current - now).count()));
         }
@@ -243,7 +243,7 @@
 
 void scheduler::loseRun(const executor_state &executor, const run_key &key, std::string_view loss, time_point now)
 {
-    addDecision("run-lost", key.task.job, toText(key.task), executor.description.id, "run=" + std::to_string(key.run) + " loss=" + std::string(loss));
+    addTaskDecision("run-lost", key.task, executor.description.id, "run=" + std::to_string(key.run) + " loss=" + std::string(loss));
     scheduled_job &job = *findMutableJob(key.task.job);
     ++countersOf(job).lostRuns;
     job.task(key.task).notBefore = now;
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -34,9 +34,9 @@
     }
 
     if (!run.mayArriveLate && !executor.acceptsStarts()) {
-        addDecision("start-withdrawn", key.task.job, toText(key.task), run.executor,
-                    "run=" + std::to_string(key.run) + " listed=" + std::to_string(executor.isListed ? 1 : 0)
-                        + " host-up=" + std::to_string(executor.isHostUp ? 1 : 0) + " failed-contacts=" + std::to_string(executor.failedContacts));
+        addTaskDecision("start-withdrawn", key.task, run.executor,
+                        "run=" + std::to_string(key.run) + " listed=" + std::to_string(executor.isListed ? 1 : 0)
+                            + " host-up=" + std::to_string(executor.isHostUp ? 1 : 0) + " failed-contacts=" + std::to_string(executor.failedContacts));
         releaseRun(key);
         return;
     }
@@ -47,7 +47,7 @@
     run.isOrderInFlight = true;
     countStart(job, now);
     start_order order{targetOf(executor), key.task, key.run, job.work.payload, job.task(key.task).checkpoint, {}, grantLease(executor, now)};
-    addDecision("start", key.task.job, toText(key.task), run.executor, "run=" + std::to_string(key.run) + " batch=" + std::to_string(m_batch));
+    addTaskDecision("start", key.task, run.executor, decision_entry::input_list{{{"run", key.run}, {"batch", static_cast<std::int64_t>(m_batch)}}});
     m_actions.emplace_back(std::move(order));
     executor.nextPoll = std::min(executor.nextPoll, now + m_settings.orderRetryDelay);
     touch(executor);
@@ -80,7 +80,7 @@
 {
     run.isOrderInFlight = true;
     run.phaseStartedAt = now;
-    addDecision("stop", key.task.job, toText(key.task), run.executor, "run=" + std::to_string(key.run));
+    addTaskDecision("stop", key.task, run.executor, decision_entry::input_list{{{"run", key.run}}});
     m_actions.emplace_back(stop_order{targetOf(m_executors[run.executor]), key.task, key.run});
 }
 
@@ -120,8 +120,8 @@
     const bool isClockReset = response.clockMilliseconds > 0 && response.clockMilliseconds + clockSlack < executor.clockMilliseconds;
     if (isClockReset) {
         // A new boot that the registry does not show yet. Its ends are numbered from the start again.
-        addDecision("clock-reset", order.task.job, toText(order.task), executor.description.id,
-                    "clock=" + std::to_string(response.clockMilliseconds) + " last=" + std::to_string(executor.clockMilliseconds));
+        addTaskDecision("clock-reset", order.task, executor.description.id,
+                        "clock=" + std::to_string(response.clockMilliseconds) + " last=" + std::to_string(executor.clockMilliseconds));
         executor.isSynchronised = false;
         forgetEnds(executor);
         executor.nextPoll = now;
@@ -170,7 +170,7 @@
     if (isUnsent(response.result)) {
         ++countersOf(*findMutableJob(order.task.job)).undeliveredStarts;
     }
-    addDecision("start-rejected", order.task.job, toText(order.task), executor.description.id, describeRejection(order, response, executor, now));
+    addTaskDecision("start-rejected", order.task, executor.description.id, describeRejection(order, response, executor, now));
     handleRejectedStart(order, *run, response, now);
 }
 
@@ -271,7 +271,7 @@
     for (unanswered_start &order : executor.unansweredStarts) {
         if (!order.isBlocked && now - order.sentAt >= m_settings.orderRetryDelay) {
             order.sentAt = now;
-            addDecision("block-late-start", order.run.task.job, toText(order.run.task), executor.description.id, "run=" + std::to_string(order.run.run));
+            addTaskDecision("block-late-start", order.run.task, executor.description.id, "run=" + std::to_string(order.run.run));
             m_actions.emplace_back(stop_order{targetOf(executor), order.run.task, order.run.run});
         }
     }
@@ -306,8 +306,7 @@
         }
         const time_point lastProgress = std::max(run->progressAt, run->startedAt);
         if (executor.lastPollResponseAt - lastProgress > m_settings.stallTimeout) {
-            addDecision("stop-stalled", key.task.job, toText(key.task), executor.description.id,
-                        "run=" + std::to_string(key.run) + " progress=" + std::to_string(run->progress));
+            addTaskDecision("stop-stalled", key.task, executor.description.id, "run=" + std::to_string(key.run) + " progress=" + std::to_string(run->progress));
             executor.avoidUntil = now + m_settings.ejectionTime;
             stopRun(*run, now);
         }
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -384,8 +384,8 @@
         if (percent != run->pace) {
             run->pacedAt = now;
             run->pace = percent;
-            addDecision("pace", key.task.job, toText(key.task), executor.description.id,
-                        "percent=" + std::to_string(percent) + " response-of-target=" + std::to_string(worstPercent));
+            addTaskDecision("pace", key.task, executor.description.id,
+                            "percent=" + std::to_string(percent) + " response-of-target=" + std::to_string(worstPercent));
             m_actions.emplace_back(pace_order{targetOf(executor), key.task, key.run, percent});
         }
     }
--- a/src/scheduler/scheduler_polls.cpp
+++ b/src/scheduler/scheduler_polls.cpp
@@ -89,7 +89,7 @@
     executor.isPolling = false;
     touch(executor);
     if (response.boot != 0 && response.boot < executor.description.boot) {
-        addDecision("stale-list", {}, {}, id, "boot=" + std::to_string(response.boot) + " known=" + std::to_string(executor.description.boot));
+        addDecision("stale-list", {}, id, "boot=" + std::to_string(response.boot) + " known=" + std::to_string(executor.description.boot));
         executor.nextPoll = now;
         return;
     }
@@ -118,7 +118,7 @@
     }
 
     if (executor.failedContacts > 0) {
-        addDecision("executor-back", {}, {}, id, "failed=" + std::to_string(executor.failedContacts));
+        addDecision("executor-back", {}, id, "failed=" + std::to_string(executor.failedContacts));
     }
     executor.failedContacts = 0;
     executor.lastPollResponseAt = now;
@@ -149,7 +149,7 @@
         return;
     }
     const auto contactAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - executor.lastContactAt);
-    addDecision("executor-lost", {}, {}, executor.description.id,
+    addDecision("executor-lost", {}, executor.description.id,
                 "result=" + std::string(name(result)) + " runs=" + std::to_string(executor.runs.size()) + " contact-ms=" + std::to_string(contactAge.count()));
 }
 
@@ -191,7 +191,7 @@
 void scheduler::stopStray(executor_state &executor, const running_entry &entry, time_point now)
 {
     delayTask({entry.task, entry.run}, now + m_settings.maximumStopTime);
-    addDecision("stop-stray", entry.task.job, toText(entry.task), executor.description.id, "run=" + std::to_string(entry.run));
+    addTaskDecision("stop-stray", entry.task, executor.description.id, "run=" + std::to_string(entry.run));
     m_actions.emplace_back(stop_order{targetOf(executor), entry.task, entry.run});
 }
 
@@ -230,7 +230,7 @@
     switch (run.phase) {
     case run_phase::restored:
         // This poll carried this leader's fencing token, so the executor rejects start orders of the previous leader from now on.
-        addDecision("never-started", key.task.job, toText(key.task), executor.description.id, "run=" + std::to_string(key.run));
+        addTaskDecision("never-started", key.task, executor.description.id, "run=" + std::to_string(key.run));
         releaseRun(key);
         return;
     case run_phase::stopped:
@@ -240,7 +240,7 @@
         return;
     case run_phase::running:
         if (run.phaseStartedAt < sentAt) {
-            addDecision("run-vanished", key.task.job, toText(key.task), executor.description.id, "run=" + std::to_string(key.run));
+            addTaskDecision("run-vanished", key.task, executor.description.id, "run=" + std::to_string(key.run));
             findMutableJob(key.task.job)->task(key.task).notBefore = now;
             releaseRun(key);
         }
--- a/src/scheduler/scheduler_runs.cpp
+++ b/src/scheduler/scheduler_runs.cpp
@@ -58,32 +58,33 @@
     touch(executor);
 }
 
-void scheduler::releaseRun(run_key key)
+void scheduler::releaseRun(const run_key &key)
 {
     if (scheduled_job *job = findMutableJob(key.task.job)) {
         releaseRun(*job, key);
     }
 }
 
-/** @param key not an element of the executor's list, from which it is erased */
 void scheduler::releaseRun(scheduled_job &job, const run_key &key)
 {
     scheduled_run *run = findRun(job, key);
     if (run == nullptr) {
         return;
     }
-    const auto isReleased = [&](const attached_run &candidate) {
-        return candidate.run == key.run && candidate.job == &job && candidate.task == key.task;
-    };
-    const auto found = m_executors.find(run->executor);
-    if (found != m_executors.end() && std::erase_if(found->second.runs, isReleased) > 0) {
-        found->second.used -= reservedBy(job.work.steps[static_cast<std::size_t>(key.task.step)]);
-        touch(found->second);
-    }
     scheduled_task &task = job.task(key.task);
+    const resources reserved = reservedBy(job.work.steps[static_cast<std::size_t>(key.task.step)]);
+    const auto found = m_executors.find(run->executor);
     task.lastExecutor = run->executor;
     std::erase_if(task.runs, [&](const scheduled_run &candidate) { return candidate.run == key.run; });
     markChanged(job);
+
+    // Last, because the key may be an element of this list.
+    attached_run *attached = found == m_executors.end() ? nullptr : findAttached(found->second, key.task, key.run);
+    if (attached != nullptr) {
+        found->second.runs.erase(found->second.runs.begin() + (attached - found->second.runs.data()));
+        found->second.used -= reserved;
+        touch(found->second);
+    }
 }
 
 void scheduler::decide(time_point now, wall_time wallNow)
--- a/tests/scheduler/stale_list_test.cpp
+++ b/tests/scheduler/stale_list_test.cpp
@@ -244,7 +244,7 @@
     for (const scheduler_action &action : successor.state.takeActions()) {
         const auto *entry = std::get_if<decision_entry>(&action);
         if (entry != nullptr && entry->decision == "evict") {
-            inputs = entry->inputs;
+            inputs = entry->inputText();
         }
     }
     CHECK(inputs == "run=1 unavailable=0 permitted=1 list-ms=50 leading-ms=690");
--- a/tools/measure-scheduler/scheduler_run.cpp
+++ b/tools/measure-scheduler/scheduler_run.cpp
@@ -247,7 +247,7 @@
         } else if (const auto *response = std::get_if<call_response>(&action)) {
             handleResponse(*response, now);
         } else if (const auto *entry = std::get_if<decision_entry>(&action); entry != nullptr && entry->decision == "finish") {
-            handleFinish(entry->job, now);
+            handleFinish(entry->jobText(), now);
         }
     }
 }
