--- a/src/scheduler/scheduler_hosts.cpp
+++ b/src/scheduler/scheduler_hosts.cpp
@@ -66,9 +66,9 @@
     }
 }
 
-void scheduler::addHostDecision(std::string decision, const std::string &host, std::string inputs)
+void scheduler::addHostDecision(std::string_view decision, const std::string &host, std::string inputs)
 {
-    m_actions.emplace_back(decision_entry{std::move(decision), {}, {}, {}, host, std::move(inputs)});
+    m_actions.emplace_back(decision_entry{decision, {}, {}, {}, host, std::move(inputs)});
 }
 
 } // namespace parsleyglade
