Record a maintenance order again before it is repeated

Cause: after a leader that has not resigned, its successor takes the wall-clock time of the record of a host order for the time of the order, and moves hosts whose record is older than 15 s at once. A maintenance order that was refused, had no answer, or waited for the cap of its wave was sent with its first record, at any time afterwards.

Change: each maintenance order has a record of its own, made at most 5 s before it is sent. With moves, which are given up after 6 s, that leaves 9 s of the 15 s for clocks that jump.

Before: wave_manager_test.cpp:138: FAILED: CHECK( recordAge(...) < 1s ) with expansion: 10750ms < 1s After: test_scheduler: All tests passed (52763 assertions in 91 test cases); test_control: All tests passed (224 assertions in 30 test cases)

Conclusion: the bound of 15 s holds for all host orders. The wait for the cap is bounded by the same condition, without a test of its own.

--- a/src/scheduler/wave_manager.cpp
+++ b/src/scheduler/wave_manager.cpp
@@ -226,16 +226,18 @@
         if (down[maintenance.wave] >= wave.request.cap) {
             continue;
         }
-        if (maintenance.recordedWith == 0) {
+        if (maintenance.recordedWith == 0 || now > maintenance.recordedAt + m_settings.recordValidity) {
             wire::host_record record;
             record.host = name;
             record.wave = maintenance.wave;
             maintenance.recordedWith = m_scheduler.recordHost(record);
+            maintenance.recordedAt = now;
             continue;
         }
         if (m_scheduler.confirmedBatch() < maintenance.recordedWith) {
             continue;
         }
+        maintenance.recordedWith = 0; // a repeated order gets a record of its own
         maintenance.isOrdered = true;
         maintenance.isOrderInFlight = true;
         maintenance.orderedAt = now;
--- a/src/scheduler/wave_manager.h
+++ b/src/scheduler/wave_manager.h
@@ -20,6 +20,8 @@
     duration maintenanceTimeout
         = std::chrono::seconds{8}; /**< A host that is still listed as up with its old executor after this time has not been maintained. */
     duration orderRetryDelay = std::chrono::milliseconds{500}; /**< Delay before a rejected order is repeated. */
+    duration recordValidity
+        = std::chrono::seconds{5}; /**< An order is sent within this time of its record, which tells a successor how recent the order may be. */
     double busyLoad = 0.45; /**< Share of a pool's processor capacity in use above which only one host at a time is evacuated. */
     double maximumEvacuatedShare = 0.34; /**< Maximum share of the hosts of a pool below that load that are evacuated or in maintenance at a time. */
     duration estimatedHostTime = std::chrono::milliseconds{
@@ -91,7 +93,8 @@
         std::string executor; /**< Executor that ran on the host before its maintenance. */
         bool isOrdered = false;
         bool isOrderInFlight = false; /**< The order is in flight. */
-        std::uint64_t recordedWith = 0; /**< Number of the journal batch that contains the order; 0 before the order is recorded. */
+        std::uint64_t recordedWith = 0; /**< Number of the journal batch that contains the next order; 0 before that order is recorded. */
+        time_point recordedAt{};
         time_point orderedAt{};
         time_point resultKnownAt{}; /**< When the result of the order became known, or the wait for it timed out. */
         time_point notBefore{}; /**< Earliest time of the next order. */
--- a/tests/scheduler/wave_manager_test.cpp
+++ b/tests/scheduler/wave_manager_test.cpp
@@ -114,3 +114,26 @@
         CHECK(order.host == "second");
     }
 }
+
+// Guards against orders of two successive leaders for one host within the platform's lease: a successor takes the time of the record for that of the order, but
+// an order could be repeated at any time after its record.
+TEST_CASE("a maintenance order is sent within seconds of its record")
+{
+    wave_fixture fixture;
+    const auto recordAge = [&](const std::string &host) {
+        for (const wire::host_record &record : fixture.cluster.state.hostRecords()) {
+            if (record.host == host) {
+                return fixture.cluster.wall() - wall_time(std::chrono::milliseconds(record.orderedMilliseconds));
+            }
+        }
+        return std::chrono::milliseconds::max();
+    };
+    const auto first = fixture.run(100ms);
+    REQUIRE(first.size() == 1);
+    fixture.run(10s); // the result is late
+    fixture.waves.handleOrderResult(first.front(), host_order_result::refused, fixture.cluster.now);
+    fixture.run(450ms);
+    const auto repeated = fixture.run(200ms);
+    REQUIRE(repeated.size() == 1);
+    CHECK(recordAge(repeated.front().host) < 1s);
+}
