--- a/idl/parsleyglade.thrift
+++ b/idl/parsleyglade.thrift
@@ -374,8 +374,9 @@
     7: i64 leadership              // fencing token of that leader
     8: optional binary configuration   // the operator's record, where it was asked for and the asker has an older version
     9: i64 configurationAgeMilliseconds   // since that version was last known to be the newest
-    10: bool storeRefuses          // the store has refused or not answered the leader's last appends; a successor that reaches it may take over
+    10: bool storeRefuses          // the store has refused or not answered the leader's last appends; an entry host that reaches it may take over
     11: list<string> successors    // peer addresses of the entry hosts that keep a copy of the journal's state and take over first
+    12: i64 journalEnd             // with storeRefuses: end of the journal as of the leader's last confirmed append; the statement holds only while it ends there
 }
 
 // ---- orders of the leader that another entry host sends to executors on its behalf ----
--- a/src/control/control_settings.h
+++ b/src/control/control_settings.h
@@ -39,7 +39,8 @@
     duration refusalTimeout = std::chrono::milliseconds{200}; /**< A leader whose attempts to append have failed for this long lets another entry host take
                                                                  over. Longer than storeRetryDelay, so that one lost response has no effect. */
     duration successorGrace = std::chrono::milliseconds{1000}; /**< Time that other entry hosts leave to the named successors before they load the journal. */
-    duration maximumLoadDelay = std::chrono::milliseconds{1000}; /**< Upper bound of the random delay after it, so that few of them load the journal. */
+    duration loadDelayPerMember = std::chrono::milliseconds{25}; /**< Upper bound of the random delay after it, for each known entry host, so that few of them
+                                                                    load the journal at the same time. */
     std::size_t successorJobs = 250; /**< Number of jobs above which a leader names successors. The journal of fewer fits into one page. */
     duration electionJitter = std::chrono::milliseconds{200}; /**< Upper bound of the random delay before the first election after start-up. */
     duration electionBackoff = std::chrono::milliseconds{1000}; /**< Time after an attempt to take over, or after losing leadership, before the next attempt. */
--- a/src/control/journal_loader.cpp
+++ b/src/control/journal_loader.cpp
@@ -1,7 +1,5 @@
 #include "control/journal_loader.h"
 
-#include "control/journal_writer.h"
-
 namespace parsleyglade {
 
 namespace {
@@ -15,31 +13,47 @@
 // Maximum size of a read while the journal is watched. It can be small, because only the presence of records matters.
 constexpr std::size_t watchReadBytes = std::size_t{16} * 1024;
 
-/** Whether the record states that its writer has resigned. */
-bool hasResigned(const store_record &record)
-{
-    if (record.key != journal_writer::batchKey) {
-        return false;
-    }
-    const auto header = decode<wire::batch_record>(record.value);
-    return header && header->resigned;
-}
-
 } // namespace
 
 journal_loader::journal_loader(const timer_service &timers, keyed_store &store, const scheduler_settings &settings, duration silenceTimeout,
                                std::function<void(result)> done)
     : m_timers(timers)
     , m_store(store)
+    , m_reader(timers, store, settings)
     , m_silenceTimeout(silenceTimeout)
     , m_done(std::move(done))
-    , m_scheduler(std::make_unique<scheduler>(settings))
 {
 }
 
+void journal_loader::setCopy(journal_copy copy)
+{
+    m_reader.resume(std::move(copy));
+}
+
+void journal_loader::setRefusedEnd(std::uint64_t end, duration watch)
+{
+    m_refusedEnd = end;
+    m_refusedWatch = watch;
+}
+
+void journal_loader::setGrace(duration grace)
+{
+    m_grace = grace;
+}
+
 void journal_loader::start()
 {
     m_startedAt = m_timers.now();
+    m_requestedAt = m_startedAt;
+    if (m_reader.isLoaded()) {
+        catchUp(duration::zero());
+        return;
+    }
+    if (m_refusedEnd) {
+        m_end = *m_refusedEnd;
+        awaitSuccessor();
+        return;
+    }
     m_store.readNewest(store_topic::journal, afterLastKey, [this, alive = std::weak_ptr<bool>(m_alive)](const store_page &page) {
         if (alive.lock()) {
             handleEnd(page);
@@ -59,14 +73,23 @@
         return;
     }
     m_end = page.end;
-    m_silenceTimeout += watchRoundTrips * (m_timers.now() - m_startedAt);
+    measureRoundTrip();
     if (m_end == 0) {
-        loadPage(); // the journal is empty
+        load(); // the journal is empty
         return;
     }
     readLastRecord();
 }
 
+/** Extends the watch by the time of the first response. */
+void journal_loader::measureRoundTrip()
+{
+    if (!m_isRoundTripMeasured) {
+        m_isRoundTripMeasured = true;
+        m_silenceTimeout += watchRoundTrips * (m_timers.now() - m_requestedAt);
+    }
+}
+
 void journal_loader::readLastRecord()
 {
     m_store.read(store_topic::journal, m_end - 1, {duration::zero(), watchReadBytes}, whileExists(&journal_loader::handleLastRecord));
@@ -78,17 +101,15 @@
         finish(journal_state::unavailable, read.reason);
         return;
     }
-    if (!read.records.empty() && hasResigned(read.records.back())) {
-        loadPage();
-        return;
-    }
     if (read.status == store_read_status::ok) {
         m_end = read.next;
     }
-    if (m_wasAppendedTo) {
-        handleActivity();
-    } else {
+    if (!read.records.empty() && journal_reader::hasResigned(read.records.back())) {
+        awaitSuccessor();
+    } else if (!m_wasAppendedTo || mayKeepWatching()) {
         watch();
+    } else {
+        finish(journal_state::active);
     }
 }
 
@@ -105,7 +126,7 @@
     }
     if (read.records.empty()) {
         m_watchedEnd = m_end;
-        loadPage();
+        awaitSuccessor();
         return;
     }
     m_wasAppendedTo = true;
@@ -113,25 +134,44 @@
     if (read.next < m_end) {
         // The batch is larger than the read, and a resignation is the last record of its batch.
         readLastRecord();
-    } else if (hasResigned(read.records.back())) {
-        loadPage();
+    } else if (journal_reader::hasResigned(read.records.back())) {
+        awaitSuccessor();
+    } else if (mayKeepWatching()) {
+        watch();
     } else {
-        handleActivity();
+        finish(journal_state::active);
     }
 }
 
-/** Handles appended records that do not end with a resignation. */
-void journal_loader::handleActivity()
+/** Whether appended records do not end the watch: a leader that resigns may first append a batch that was already under way. */
+bool journal_loader::mayKeepWatching() const
 {
-    // A leader that resigns may first append a batch that was already under way.
-    if (m_isResignationExpected && m_timers.now() - m_startedAt < m_silenceTimeout) {
-        watch();
+    return m_isResignationExpected && m_timers.now() - m_startedAt < m_silenceTimeout;
+}
+
+/** Loads the journal, after the grace period in favour of entry hosts that need not load it. */
+void journal_loader::awaitSuccessor()
+{
+    if (m_grace == duration::zero()) {
+        load();
         return;
     }
-    finish(journal_state::active);
+    m_store.read(store_topic::journal, m_end, {m_grace, watchReadBytes}, whileExists(&journal_loader::handleGraceResult));
 }
 
-std::function<void(const store_read_result &)> journal_loader::whileExists(void (journal_loader::*handler)(const store_read_result &))
+void journal_loader::handleGraceResult(const store_read_result &read)
+{
+    if (read.status != store_read_status::ok) {
+        finish(journal_state::unavailable, read.reason);
+    } else if (!read.records.empty()) {
+        m_end = read.end;
+        finish(journal_state::active);
+    } else {
+        load();
+    }
+}
+
+std::function<void(const store_read_result &)> journal_loader::whileExists(read_handler handler)
 {
     return [this, handler, alive = std::weak_ptr<bool>(m_alive)](const store_read_result &read) {
         if (alive.lock()) {
@@ -140,74 +180,56 @@
     };
 }
 
-void journal_loader::loadPage()
+void journal_loader::load()
 {
-    m_store.readNewest(store_topic::journal, m_afterKey, [this, alive = std::weak_ptr<bool>(m_alive)](const store_page &page) {
-        if (alive.lock()) {
-            handlePage(page);
+    // Of several entry hosts that load the journal at the same time, the others stop when the first one has taken over.
+    m_reader.load(journal_reader::append_policy::give_up, [this](journal_reader::load_state state, const std::string &failureReason) {
+        switch (state) {
+        case journal_reader::load_state::loaded:
+            catchUp(duration::zero());
+            break;
+        case journal_reader::load_state::appended_to:
+            finish(journal_state::active);
+            break;
+        case journal_reader::load_state::unavailable:
+            finish(journal_state::unavailable, failureReason);
+            break;
         }
     });
 }
 
-void journal_loader::handlePage(const store_page &page)
-{
-    if (!page.isAvailable) {
-        finish(journal_state::unavailable, page.reason);
-        return;
-    }
-    if (m_isFirstPage) {
-        m_end = page.end;
-        m_isFirstPage = false;
-    }
-    for (const store_record &record : page.records) {
-        m_afterKey = record.key;
-        restoreRecord(record);
-    }
-    if (page.hasMore && !page.records.empty()) {
-        loadPage();
-        return;
-    }
-    catchUp(duration::zero());
-}
-
 void journal_loader::catchUp(duration wait)
 {
-    m_store.read(store_topic::journal, m_end, {wait}, [this, wait, alive = std::weak_ptr<bool>(m_alive)](const store_read_result &read) {
-        if (alive.lock()) {
-            handleReadResult(read, wait > duration::zero());
-        }
-    });
+    m_requestedAt = m_timers.now();
+    m_reader.readOn(wait, [this, wait](const store_read_result &read) { handleCatchUp(read, wait > duration::zero()); });
 }
 
-void journal_loader::handleReadResult(const store_read_result &read, bool isWatch)
+/** Handles records that follow the loaded ones. */
+void journal_loader::handleCatchUp(const store_read_result &read, bool isWatch)
 {
+    if (read.status == store_read_status::trimmed && !m_wasReloaded) {
+        m_wasReloaded = true;
+        load();
+        return;
+    }
     if (read.status != store_read_status::ok) {
         finish(journal_state::unavailable, read.reason);
         return;
     }
-    m_end = read.next;
-    for (const store_record &record : read.records) {
-        restoreRecord(record);
+    measureRoundTrip();
+    if (read.next < read.end) {
+        catchUp(duration::zero());
+        return;
     }
-
-    if (read.records.empty() && (isWatch || m_hasNoWriter || m_watchedEnd == m_end)) {
+    const journal_copy &copy = m_reader.copy();
+    const duration neededWatch = m_refusedEnd == copy.end ? m_refusedWatch : m_silenceTimeout;
+    const bool isSilent = isWatch && read.records.empty();
+    if (isSilent || copy.hasNoWriter || m_watchedEnd == copy.end || neededWatch == duration::zero()) {
         finish(journal_state::silent);
-    } else if (isWatch && !m_hasNoWriter) {
+    } else if (isWatch && !mayKeepWatching()) {
         finish(journal_state::active);
     } else {
-        // Read to the end; if records were appended, read again, otherwise watch for further appends.
-        catchUp(read.records.empty() ? m_silenceTimeout : duration::zero());
-    }
-}
-
-void journal_loader::restoreRecord(const store_record &record)
-{
-    if (record.key == journal_writer::batchKey) {
-        m_hasNoWriter = hasResigned(record);
-        return;
-    }
-    if (!m_scheduler->restore(record.key, record.value)) {
-        m_log.error("failed to decode a journal record; skipping it", {{"key", record.key}, {"offset", record.offset}});
+        catchUp(neededWatch);
     }
 }
 
@@ -216,10 +238,17 @@
     result loaded;
     loaded.state = state;
     loaded.end = m_end;
-    loaded.hasResigned = m_hasNoWriter;
     loaded.reason = std::move(reason);
-    if (state == journal_state::silent) {
-        loaded.restored = std::move(m_scheduler);
+    loaded.loaded = m_reader.loaded();
+    if (m_reader.isLoaded()) {
+        journal_copy copy = m_reader.takeCopy();
+        loaded.end = copy.end;
+        loaded.hasResigned = copy.hasNoWriter;
+        if (state == journal_state::silent) {
+            loaded.restored = std::move(copy.state);
+        } else {
+            loaded.copy = std::move(copy);
+        }
     }
     const auto done = std::exchange(m_done, nullptr);
     done(std::move(loaded));
--- a/src/control/leader_task.cpp
+++ b/src/control/leader_task.cpp
@@ -38,9 +38,10 @@
     , m_settings(settings)
     , m_metrics(metrics)
     , m_scheduler(std::move(restored))
-    , m_journal(loop, platform.store, settings, end, [this] { this->end("another entry host leads"); })
+    , m_journal(
+          loop, platform.store, settings, end, [this] { this->end("another entry host leads"); }, [this] { handleStoreRefusal(); })
     , m_hosts(loop, platform.store, platform.hosts, platform.decoder, settings, *m_scheduler,
-              [this] { return hasLeadershipLease() && journalAge() < m_settings.hostOrderLeadershipLease; })
+              [this] { return hasLeadershipLease() && !isStoreRefusing() && journalAge() < m_settings.hostOrderLeadershipLease; })
     , m_registry(
           loop, platform.store, store_topic::registry, registryFollowerSettings(settings), [this](const store_record &record) { handleRegistryRecord(record); },
           [this] {
@@ -112,6 +113,9 @@
 {
     const bool isPending = call.kind == wire::work_call_kind::count_pending;
     const bool isAboutKnownJob = !isPending && m_scheduler->findJob(call.job) != nullptr;
+    if (!isAboutKnownJob && isStoreRefusing()) {
+        return true;
+    }
     return journalAge() >= (isAboutKnownJob ? m_settings.scheduling.leadershipLease : m_settings.readLease);
 }
 
@@ -176,6 +180,28 @@
     end("another entry host leads: " + successor);
 }
 
+void leader_task::onStoreRefusal(std::function<void()> callback)
+{
+    m_storeRefused = std::move(callback);
+}
+
+bool leader_task::isStoreRefusing() const
+{
+    return m_journal.isRefused();
+}
+
+std::uint64_t leader_task::journalEnd() const
+{
+    return m_journal.end();
+}
+
+void leader_task::handleStoreRefusal()
+{
+    if (m_storeRefused && !m_hasEnded) {
+        m_storeRefused();
+    }
+}
+
 bool leader_task::isResigning() const
 {
     return m_isResigning;
--- a/src/control/leader_task.h
+++ b/src/control/leader_task.h
@@ -53,6 +53,16 @@
     /** Ends at once, because another entry host leads. @param successor its peer address, for the log */
     void depose(const std::string &successor);
 
+    /** Sets what is called each time isStoreRefusing() becomes true. */
+    void onStoreRefusal(std::function<void()> callback);
+
+    /** Whether the store refuses this leader's appends, or does not answer them. While it does, the leader denies no job and counts no pending jobs from its
+       own state, and sends no orders for hosts, so that another entry host may take over without watching the journal. */
+    bool isStoreRefusing() const;
+
+    /** Offset at which the journal ends as of the last confirmed append. */
+    std::uint64_t journalEnd() const;
+
     /** Whether resign() was called. */
     bool isResigning() const;
 
@@ -88,6 +98,7 @@
     void sendStart(const start_order &order);
     void sendPoll(const poll_order &order);
     void handleRegistryRecord(const store_record &record);
+    void handleStoreRefusal();
     void end(const std::string &reason);
     bool hasLeadershipLease() const;
     time_point leadershipLeaseEnd() const;
@@ -102,6 +113,7 @@
     host_task m_hosts;
     topic_follower m_registry;
     std::function<void()> m_ended;
+    std::function<void()> m_storeRefused;
     std::map<call_token, reply_function> m_pendingCalls;
     std::vector<deferred_call> m_deferredCalls; /**< In order of arrival. */
     call_token m_nextToken = 1;
--- a/src/control/leadership_election.cpp
+++ b/src/control/leadership_election.cpp
@@ -6,36 +6,68 @@
 
 constexpr double millicoresPerCore = 1000;
 
+// An election after a failure of the store begins within electionBackoff, plus the time that the failing requests take.
+constexpr duration storeFailureMemory = std::chrono::seconds{3};
+
+// Number of attempts that a refused leader has before an entry host that was without the store itself takes over.
+constexpr int leaderRetries = 3;
+
 } // namespace
 
 void leadership_task::suspect(const std::string &reason)
 {
-    if (m_isRetired || m_leader || m_loader || m_takeoverWriter || m_isElectionDelayed || m_loop.now() < m_nextElection) {
+    if (isElecting() || m_loop.now() < m_nextElection) {
         return;
     }
     m_log.info("suspecting the leader; watching the journal", {{"reason", reason}, {"silenceMicroseconds", silence().count()}});
-    startElection();
+    startElection(reason);
+}
+
+/** Whether an election is in progress, or this entry host takes part in none. */
+bool leadership_task::isElecting() const
+{
+    return m_isRetired || m_leader || m_loader || m_takeoverWriter || m_isElectionDelayed;
 }
 
-void leadership_task::startElection()
+/** @param refusedEnd end of the journal as of the last confirmed append of a leader that is refused by the store; @see journal_loader::setRefusedEnd() */
+void leadership_task::startElection(const std::string &reason, std::optional<std::uint64_t> refusedEnd)
 {
-    if (m_isRetired || m_leader || m_loader || m_takeoverWriter) {
+    if (isElecting()) {
         return;
     }
+    m_electionReason = reason;
+    m_electionStartedAt = m_loop.now();
     m_loader = std::make_unique<journal_loader>(m_loop, m_platform.store, m_settings.scheduling, m_settings.journalSilenceTimeout,
                                                 [this](journal_loader::result result) {
                                                     // This runs in a callback of the loader, so the loader is destroyed from the event loop.
                                                     m_loop.post([old = std::shared_ptr<journal_loader>(std::move(m_loader))] {});
                                                     handleLoadedJournal(std::move(result));
                                                 });
+    if (refusedEnd) {
+        // When the store was unreachable from here as well, it is probably back for the leader too, which repeats its append in a moment.
+        const bool wasUnavailable = m_announcements.isUnavailable() || m_loop.now() - m_storeFailedAt < storeFailureMemory;
+        m_loader->setRefusedEnd(*refusedEnd, wasUnavailable ? leaderRetries * m_settings.storeRetryDelay : duration::zero());
+    }
+    if (m_follower && m_follower->isLoaded()) {
+        m_loader->setCopy(m_follower->takeCopy());
+    } else if (!m_successors.empty() && !isSuccessor()) {
+        const duration maximumDelay = m_settings.loadDelayPerMember * static_cast<std::int64_t>(m_members.size() + 1);
+        m_loader->setGrace(m_settings.successorGrace + duration(static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(maximumDelay.count()))));
+    }
+    m_follower.reset();
     m_loader->start();
 }
 
 void leadership_task::handleLoadedJournal(journal_loader::result result)
 {
     m_nextElection = m_loop.now() + m_settings.electionBackoff;
+    m_metrics.countElection(m_electionReason, std::string(journal_loader::name(result.state)), result.loaded);
+    if (result.copy) {
+        keepCopy(std::move(*result.copy));
+    }
     switch (result.state) {
     case journal_loader::journal_state::unavailable:
+        m_storeFailedAt = m_loop.now();
         m_log.warning("failed to read the journal; retrying later", {{"reason", result.reason}});
         return;
     case journal_loader::journal_state::active:
@@ -48,10 +80,11 @@
     const auto takeOver = [this, shared] {
         m_isElectionDelayed = false;
         if (!m_isRetired && !m_leader && !m_takeoverWriter) {
-            appendTakeover(std::move(shared->restored), shared->hasResigned, shared->end);
+            appendTakeover(shared);
         }
     };
-    if (!hasLowProcessorShare()) {
+    // A named successor does not yield to others: the leader names one with a low processor share only when no entry host has a higher one.
+    if (!hasLowProcessorShare() || isSuccessor()) {
         takeOver();
         return;
     }
@@ -82,7 +115,9 @@
 {
     const bool hasEnoughProcessorShare = request.leadingMillicores >= static_cast<std::int32_t>(m_settings.leaderProcessorShare * millicoresPerCore);
     const bool mayHandOver = m_loop.now() - m_leadingSince > m_settings.minimumTermBeforeHandover && m_loop.now() >= m_nextHandover;
-    if (!m_leader || m_leader->isResigning() || !hasLowProcessorShare() || !hasEnoughProcessorShare || !mayHandOver) {
+    // Where the journal is large, the sender is named first, and loads the journal while this entry host still leads.
+    const bool isPrepared = m_choice.names().empty() || m_choice.isPrepared(request.peerAddress, m_loop.now());
+    if (!m_leader || m_leader->isResigning() || !hasLowProcessorShare() || !hasEnoughProcessorShare || !mayHandOver || !isPrepared) {
         return;
     }
     m_nextHandover = m_loop.now() + m_settings.handoverInterval;
@@ -90,32 +125,53 @@
     m_leader->resign();
 }
 
-void leadership_task::appendTakeover(std::unique_ptr<scheduler> restored, bool hasResigned, std::uint64_t end)
+void leadership_task::appendTakeover(const std::shared_ptr<journal_loader::result> &loaded)
 {
-    const auto shared = std::make_shared<std::unique_ptr<scheduler>>(std::move(restored));
-    m_takeoverWriter = std::make_unique<journal_writer>(m_loop, m_platform.store, m_settings, end, [this] {
+    m_takeoverWriter = std::make_unique<journal_writer>(m_loop, m_platform.store, m_settings, loaded->end, [this, loaded] {
         m_log.info("another entry host has taken over leadership");
         m_loop.post([old = std::shared_ptr<journal_writer>(std::move(m_takeoverWriter))] {});
+        keepCopy({std::move(loaded->restored), loaded->end, loaded->hasResigned});
     });
     wire::batch_record header;
     header.takeover = true;
-    m_takeoverWriter->append(header, {}, [this, shared, hasResigned](std::uint64_t offset) {
+    m_takeoverWriter->append(header, {}, [this, loaded](std::uint64_t offset) {
         m_loop.post([old = std::shared_ptr<journal_writer>(std::move(m_takeoverWriter))] {});
-        startLeading(std::move(*shared), hasResigned, offset);
+        startLeading(*loaded, offset);
     });
 }
 
-void leadership_task::startLeading(std::unique_ptr<scheduler> restored, bool hasResigned, std::uint64_t offset)
+void leadership_task::startLeading(journal_loader::result &loaded, std::uint64_t offset)
 {
-    m_metrics.countTakeover();
+    const auto milliseconds = [](duration time) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    };
+    const duration electionTime = m_loop.now() - m_electionStartedAt;
+    m_metrics.countTakeover(electionTime);
     m_leadingSince = m_loop.now();
-    m_log.info("leads", {{"fence", offset}, {"jobs", restored->jobCount()}});
+    // Of the level notice, because the first second of a lead writes more lines of the level info than the log accepts.
+    m_log.notice("leads",
+                 {{"fence", offset},
+                  {"jobs", loaded.restored->jobCount()},
+                  {"reason", m_electionReason},
+                  {"electionMs", milliseconds(electionTime)},
+                  {"copy", loaded.loaded.pages == 0},
+                  {"pages", loaded.loaded.pages},
+                  {"records", loaded.loaded.records},
+                  {"bytes", loaded.loaded.bytes},
+                  {"loadMs", milliseconds(loaded.loaded.elapsed)},
+                  {"resigned", loaded.hasResigned}});
     m_link.reset();
     m_hasFollowedLeader = true;
     m_followedFence = static_cast<std::int64_t>(offset);
-    m_leader = std::make_unique<leader_task>(m_loop, m_platform, m_settings, m_metrics, std::move(restored), hasResigned, offset, offset + 1,
+    std::erase(m_successors, m_settings.peerAddress);
+    m_choice.start(std::exchange(m_successors, {}), m_loop.now());
+    m_leader = std::make_unique<leader_task>(m_loop, m_platform, m_settings, m_metrics, std::move(loaded.restored), loaded.hasResigned, offset, offset + 1,
                                              [this] { stopLeading(); });
-    m_deferredProbeTimer = m_loop.every(m_settings.maximumProbeReplyDelay, [this] { replyToDeferredProbes(); });
+    m_leader->onStoreRefusal([this] { handleStoreRefusal(); });
+    m_deferredProbeTimer = m_loop.every(m_settings.maximumProbeReplyDelay, [this] {
+        chooseSuccessors();
+        replyToDeferredProbes();
+    });
     m_leader->setConfiguration(m_configuration);
     for (const auto &[number, wave] : m_waves) {
         m_leader->setWave(wave);
@@ -129,12 +185,13 @@
 {
     m_leader.reset();
     m_deferredProbeTimer.cancel();
-    replyToDeferredProbes();
     m_lastHealthy = m_loop.now();
     m_nextElection = m_loop.now() + m_settings.electionBackoff;
+    m_successors = m_choice.names();
     if (const auto successor = std::exchange(m_successor, std::nullopt)) {
         follow(successor->address, successor->fence);
     }
+    replyToDeferredProbes(); // with the successor, which entry hosts that are refused by the store can't read of
 }
 
 } // namespace parsleyglade
--- a/src/control/leadership_members.cpp
+++ b/src/control/leadership_members.cpp
@@ -23,9 +23,8 @@
     }
     m_members[address].lastMessageAt = m_loop.now();
     if (m_members.size() > maximumMembers) {
-        m_members.erase(std::min_element(m_members.begin(), m_members.end(), [](const auto &left, const auto &right) {
-            return left.second.lastMessageAt < right.second.lastMessageAt;
-        }));
+        m_members.erase(std::min_element(m_members.begin(), m_members.end(),
+                                         [](const auto &left, const auto &right) { return left.second.lastMessageAt < right.second.lastMessageAt; }));
     }
 }
 
@@ -40,17 +39,29 @@
     }
 }
 
+/** The entry host to query next: each in turn, and every second time one that may have succeeded this leader. */
+std::string leadership_task::nextMemberToQuery()
+{
+    const std::uint64_t number = m_memberQueries++;
+    const std::vector<std::string> &successors = m_choice.names();
+    if (m_leader && !successors.empty() && number % 2 == 0) {
+        return successors[number / 2 % successors.size()];
+    }
+    auto next = m_members.upper_bound(m_lastMemberInTurn);
+    if (next == m_members.end()) {
+        next = m_members.begin();
+    }
+    m_lastMemberInTurn = next->first;
+    return next->first;
+}
+
 /** Queries the next known entry host for the leader that it follows, for the case that this one can't read the announcement from the store. */
 void leadership_task::queryNextMember()
 {
     if (m_memberLink || m_members.empty()) {
         return;
     }
-    auto next = m_members.upper_bound(m_queriedMember);
-    if (next == m_members.end()) {
-        next = m_members.begin();
-    }
-    m_queriedMember = next->first;
+    m_queriedMember = nextMemberToQuery();
     m_memberQuerySentAt = m_loop.now();
     const auto sendProbe = [this](bool isReady) {
         if (isReady) {
--- a/src/control/leadership_task.cpp
+++ b/src/control/leadership_task.cpp
@@ -34,7 +34,7 @@
     const auto jitter = static_cast<std::uint64_t>(m_settings.electionJitter.count());
     m_firstElectionTimer = m_loop.after(duration(static_cast<std::int64_t>(m_random() % jitter)) + electionDelay(), [this] {
         if (!m_hasFollowedLeader) {
-            startElection();
+            startElection("no leader is known");
         }
     });
 }
@@ -143,8 +143,10 @@
 {
     m_isRetired = true;
     m_firstElectionTimer.cancel();
+    m_follower.reset();
     if (m_leader) {
         m_leader->resign();
+        replyToDeferredProbes(); // the successors then await the resignation
     }
 }
 
@@ -195,6 +197,7 @@
     }
 
     m_log.info("follows", {{"leader", address}, {"fence", fence}});
+    std::erase(m_successors, address);
     m_hasFollowedLeader = true;
     m_lastHealthy = m_loop.now();
     recordMember(address);
@@ -210,7 +213,8 @@
     });
 }
 
-/** Replies at once if the sender has an older configuration or this entry host does not lead; otherwise delays the reply by up to maximumProbeReplyDelay. */
+/** Replies at once if the sender has an older configuration or this entry host does not lead, resigns or is refused by the store; otherwise delays the reply by
+    up to maximumProbeReplyDelay. */
 void leadership_task::handleProbe(const wire::leader_probe &request, const peer_server::reply_function &reply)
 {
     recordProbe(request);
@@ -223,7 +227,8 @@
     }
     handOverIfBetterSuited(request);
     m_deferredProbes.push_back({request, reply});
-    if (!m_leader || request.configurationVersion < m_configuration.version) {
+    const bool givesWay = !m_leader || m_leader->isResigning() || m_leader->isStoreRefusing();
+    if (givesWay || request.configurationVersion < m_configuration.version) {
         replyToDeferredProbes();
     }
 }
@@ -245,15 +250,26 @@
     for (const auto &[address, known] : m_members) {
         status.members.push_back(address);
     }
+    if (m_leader) {
+        status.successors = m_choice.names();
+        status.storeRefuses = m_leader->isStoreRefusing();
+        status.journalEnd = static_cast<std::int64_t>(m_leader->journalEnd());
+    }
     if (request.wantsConfiguration && request.configurationVersion < m_configuration.version) {
         status.__set_configuration(m_encodedConfiguration);
     }
     return status;
 }
 
+/** Replies to the successors first: their takeover does not wait until all others have their replies. */
 void leadership_task::replyToDeferredProbes()
 {
-    for (const deferred_probe &deferred : std::exchange(m_deferredProbes, {})) {
+    std::vector<deferred_probe> probes = std::exchange(m_deferredProbes, {});
+    std::stable_partition(probes.begin(), probes.end(), [this](const deferred_probe &deferred) {
+        const std::vector<std::string> &names = m_choice.names();
+        return std::find(names.begin(), names.end(), deferred.request.peerAddress) != names.end();
+    });
+    for (const deferred_probe &deferred : probes) {
         wire::peer_message response;
         response.__set_probeReply(statusFor(deferred.request));
         deferred.reply(response);
@@ -285,7 +301,7 @@
 {
     if (m_leader) {
         // If the store does not respond, only another entry host can report that this one was deposed.
-        if (silence() > m_settings.leaderSuspicionTimeout) {
+        if (m_leader->isStoreRefusing() || silence() > m_settings.leaderSuspicionTimeout) {
             queryNextMember();
         }
         return;
@@ -333,6 +349,16 @@
     if (m_link) {
         compareConfiguration(m_link->address(), status, m_probeSentAt);
     }
+    if (!status.leading && !status.leaderAddress.empty() && status.leadership > m_followedFence) {
+        follow(status.leaderAddress, status.leadership);
+        return;
+    }
+    if (status.leading) {
+        setSuccessors(status.successors);
+    }
+    if (status.leading && status.storeRefuses) {
+        claimFromRefusedLeader(static_cast<std::uint64_t>(status.journalEnd));
+    }
     const auto stalled = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.journalStallTimeout).count();
     if (!status.leading || status.resigning) {
         suspect(status.resigning ? "resigning" : "no longer leading");
--- a/src/control/leadership_task.h
+++ b/src/control/leadership_task.h
@@ -2,9 +2,11 @@
 
 #include "control/configuration_puller.h"
 #include "control/control_settings.h"
+#include "control/journal_follower.h"
 #include "control/journal_loader.h"
 #include "control/leader_task.h"
 #include "control/member.h"
+#include "control/successor_choice.h"
 #include "control/topic_follower.h"
 #include "transport/peer_link.h"
 #include "transport/peer_server.h"
@@ -20,7 +22,8 @@
 /**
  * Leader election: finds out which entry host leads, and takes over when none does. It probes the announced leader. When the leader does not reply,
  * it watches the journal, and takes over with a conditional append only when nothing is appended to the journal either. So an entry host that is
- * partitioned from a working leader does not depose it.
+ * partitioned from a working leader does not depose it. The leader of a large journal names successors. They keep a copy of the journal's state, and the
+ * other entry hosts leave the takeover to them for a while.
  */
 class leadership_task
 {
@@ -70,6 +73,9 @@
     /** Resigns if this entry host leads, and takes part in no further election. */
     void retire();
 
+    /** Peer addresses of the entry hosts that the leader, which may be this one, has named to take over first. */
+    const std::vector<std::string> &successors() const;
+
     /** The other entry hosts that are known, by peer address. */
     const std::map<std::string, member> &members() const;
 
@@ -94,22 +100,31 @@
     void probe();
     void compareConfiguration(const std::string &address, const wire::leader_status &status, time_point requestedAt);
     void handleProbeReply(const outcome<wire::peer_message> &reply);
+    std::string nextMemberToQuery();
     void queryNextMember();
     void handleMemberReply(const outcome<wire::peer_message> &reply);
     void recordMember(const std::string &address);
     void recordProbe(const wire::leader_probe &request);
     void suspect(const std::string &reason);
-    void startElection();
+    void startElection(const std::string &reason, std::optional<std::uint64_t> refusedEnd = std::nullopt);
+    bool isElecting() const;
     bool hasLowProcessorShare() const;
     duration electionDelay() const;
     std::int32_t leadingMillicores() const;
     void replyToDeferredProbes();
     void handOverIfBetterSuited(const wire::leader_probe &request);
     void handleLoadedJournal(journal_loader::result result);
-    void appendTakeover(std::unique_ptr<scheduler> restored, bool hasResigned, std::uint64_t end);
-    void startLeading(std::unique_ptr<scheduler> restored, bool hasResigned, std::uint64_t offset);
+    void appendTakeover(const std::shared_ptr<journal_loader::result> &loaded);
+    void startLeading(journal_loader::result &loaded, std::uint64_t offset);
     void stopLeading();
 
+    bool isSuccessor() const;
+    void setSuccessors(const std::vector<std::string> &successors);
+    void keepCopy(journal_copy copy);
+    void chooseSuccessors();
+    void claimFromRefusedLeader(std::uint64_t journalEnd);
+    void handleStoreRefusal();
+
     /** Another entry host that is reported to lead. */
     struct announced_leader
     {
@@ -131,12 +146,21 @@
     std::unique_ptr<peer_link> m_memberLink; /**< To another entry host that is queried for the leader while the leader does not reply. */
     std::map<std::string, member> m_members; /**< The other entry hosts by peer address. */
     std::string m_queriedMember;
+    std::string m_lastMemberInTurn; /**< The last one that was queried in the order of addresses. */
+    std::uint64_t m_memberQueries = 0;
     std::int64_t m_followedFence = -1;
     std::optional<announced_leader> m_successor; /**< The entry host that has deposed this one; set until this one has stopped leading. */
     control_metrics m_metrics;
     std::unique_ptr<leader_task> m_leader;
     std::unique_ptr<journal_loader> m_loader;
     std::unique_ptr<journal_writer> m_takeoverWriter;
+    std::unique_ptr<journal_follower> m_follower; /**< While this entry host is a named successor, except during an election. */
+    std::vector<std::string> m_successors; /**< Peer addresses that the leader has named; kept until the next leader names others. */
+    successor_choice m_choice; /**< The successors that this entry host names while it leads. */
+    std::uint64_t m_refusedEnd = 0; /**< End of the journal in the last statement of a refused leader that was acted upon. */
+    time_point m_storeFailedAt{}; /**< When an election of this entry host last failed for lack of the store. */
+    std::string m_electionReason;
+    time_point m_electionStartedAt{};
     time_point m_lastHealthy{};
     time_point m_nextElection{};
     time_point m_leadingSince{};
--- a/src/control/topic_follower.cpp
+++ b/src/control/topic_follower.cpp
@@ -35,6 +35,11 @@
     return m_isLoaded;
 }
 
+bool topic_follower::isUnavailable() const
+{
+    return m_isUnavailable;
+}
+
 time_point topic_follower::lastContact() const
 {
     return m_lastContact;
--- a/src/control/topic_follower.h
+++ b/src/control/topic_follower.h
@@ -41,6 +41,9 @@
     /** Whether all records have been loaded at least once. */
     bool isLoaded() const;
 
+    /** Whether the last read has failed. */
+    bool isUnavailable() const;
+
     /** Time of the last successful response of the store; the epoch of the clock when there was none. */
     time_point lastContact() const;
 
--- a/tests/control/deposed_leader_test.cpp
+++ b/tests/control/deposed_leader_test.cpp
@@ -112,6 +112,73 @@
     CHECK(response->reply.verdict == wire::work_verdict::not_found);
 }
 
+// Guards against stale reads: a leader that has stated that the store refuses it may have a successor at once.
+TEST_CASE("a leader that the store refuses reports no job as unknown and no number of pending jobs from its own state", "[control]")
+{
+    pair_fixture fixture;
+    fixture.secondStore.isPartitioned = true; // so that nobody takes over
+    fixture.firstStore.isRefused = true;
+    runUntil(fixture.loop, 1s, [&] { return fixture.first.leadership().leader()->isStoreRefusing(); });
+    REQUIRE(fixture.first.leadership().leader()->isStoreRefusing());
+    REQUIRE(fixture.first.leadership().leader()->journalAge() < fixture.firstSettings.readLease - 200ms);
+    const auto pending = makeCall(wire::work_call_kind::count_pending, {});
+    const auto unknown = makeCall(wire::work_call_kind::query, "unknown");
+    for (const wire::work_call &call : {pending, unknown}) {
+        const auto response = fixture.send(fixture.first, call, 100ms);
+        REQUIRE(response);
+        CHECK(response->delivery != work_gateway::delivery_status::responded);
+    }
+
+    fixture.firstStore.isRefused = false;
+    const auto response = fixture.send(fixture.first, unknown, 2s);
+    REQUIRE(response);
+    CHECK(response->reply.verdict == wire::work_verdict::not_found);
+}
+
+// Guards against a statement that reaches a follower only after the time for which a probe is held, because it had none under way when it was made.
+TEST_CASE("a leader that the store refuses replies to each probe at once", "[control]")
+{
+    constexpr int probeCount = 3;
+    pair_fixture fixture;
+    fixture.secondStore.isPartitioned = true; // so that nobody takes over
+    fixture.firstStore.isRefused = true;
+    runUntil(fixture.loop, 1s, [&] { return fixture.first.leadership().leader()->isStoreRefusing(); });
+    REQUIRE(fixture.first.leadership().leader()->isStoreRefusing());
+
+    const control_settings prober = controlSettings(2, freePort());
+    const peer_settings proberPeers = peerSettings(prober);
+    peer_link link(fixture.loop, proberPeers, fixture.firstSettings.peerAddress, [](bool) {});
+    runUntil(fixture.loop, 1s, [&] { return link.isReady(); });
+    REQUIRE(link.isReady());
+    const time_point startedAt = fixture.loop.now();
+    for (int number = 0; number < probeCount; ++number) {
+        wire::leader_probe probe;
+        probe.configurationVersion = 1;
+        probe.peerAddress = prober.peerAddress;
+        wire::peer_message message;
+        message.__set_probe(probe);
+        std::optional<bool> isRefused;
+        link.request(message, 1s, [&](const outcome<wire::peer_message> &reply) { isRefused = reply && reply->probeReply.storeRefuses; });
+        runUntil(fixture.loop, 2s, [&] { return isRefused.has_value(); });
+        CHECK(isRefused == true);
+    }
+    CHECK(fixture.loop.now() - startedAt < fixture.firstSettings.maximumProbeReplyDelay);
+}
+
+// Guards against the time of watching where the leader itself says that the store refuses it, also on a deployment that names no successors.
+TEST_CASE("a leader that the store refuses is succeeded at once by an entry host that reaches the store", "[control]")
+{
+    pair_fixture fixture;
+    fixture.firstStore.isRefused = true;
+    runUntil(fixture.loop, 5s, [&] { return fixture.second.leadership().leader() != nullptr; });
+    REQUIRE(fixture.second.leadership().leader() != nullptr);
+    REQUIRE(fixture.firstStore.firstRefusedAppendAt);
+    CHECK(fixture.loop.now() - *fixture.firstStore.firstRefusedAppendAt <= 300ms);
+    runUntil(fixture.loop, 3s, [&] { return fixture.first.leadership().leader() == nullptr && fixture.first.leadership().isConnected(); });
+    CHECK(fixture.first.leadership().leader() == nullptr);
+    CHECK(fixture.first.leadership().isConnected());
+}
+
 // Guards against 504 for submissions that were never passed to the scheduler, which callers can't safely retry elsewhere.
 TEST_CASE("a submission during an outage of the store is certainly not accepted", "[control]")
 {
--- a/tests/control/leadership_test.cpp
+++ b/tests/control/leadership_test.cpp
@@ -172,6 +172,38 @@
     }
 }
 
+// Guards against a handover to an entry host that first has to load a large journal, and against one that does not take place because successors are named.
+TEST_CASE("a leader with a low processor share hands a large journal over to a successor that has loaded it", "[control]")
+{
+    constexpr double lowProcessorShare = 0.1;
+    constexpr double lowerProcessorShare = 0.05;
+    constexpr std::size_t jobCount = 600;
+    event_loop loop;
+    control_platform platform(loop);
+    platform.store.put(store_topic::operators, {{"configuration", "1"}});
+    wire::batch_record header;
+    header.resigned = true;
+    for (std::size_t number = 0; number < jobCount; ++number) {
+        const std::string job = "job" + std::to_string(number);
+        platform.store.put(store_topic::journal, {{scheduler::workKey(job), encode(makeSubmission(job).work)}});
+    }
+    platform.store.put(store_topic::journal, {{journal_writer::batchKey, encode(header)}});
+
+    const auto first = makeEntryHost(loop, platform, 0, control_settings{}.journalSilenceTimeout, lowProcessorShare);
+    runUntil(loop, 5s, [&] { return first->leadership().leader() != nullptr; });
+    REQUIRE(first->leadership().leader() != nullptr);
+    const auto lower = makeEntryHost(loop, platform, 1, control_settings{}.journalSilenceTimeout, lowerProcessorShare);
+    const auto same = makeEntryHost(loop, platform, 2, control_settings{}.journalSilenceTimeout, lowProcessorShare);
+    runUntil(loop, 3s, [] { return false; });
+    CHECK(first->leadership().successors().size() == 1);
+    const std::size_t deliveredBefore = platform.store.deliveredPageRecords;
+    const auto large = makeEntryHost(loop, platform, 3);
+    runUntil(loop, 8s, [&] { return large->leadership().leader() != nullptr; });
+    REQUIRE(large->leadership().leader() != nullptr);
+    CHECK(large->leadership().leader()->state().jobCount() == jobCount);
+    CHECK(platform.store.deliveredPageRecords - deliveredBefore <= jobCount + 10); // once, and a few announcements and configurations
+}
+
 // Guards against telling a caller that its submission was refused when it may have been accepted.
 TEST_CASE("a submission still waiting for the leader's reply at its deadline has an unknown outcome", "[control]")
 {
