--- a/src/control/leadership_task.cpp
+++ b/src/control/leadership_task.cpp
@@ -213,7 +213,8 @@
     });
 }
 
-/** Replies at once if the sender has an older configuration or this entry host does not lead; otherwise delays the reply by up to maximumProbeReplyDelay. */
+/** Replies at once if the sender has an older configuration or this entry host does not lead, resigns or is refused by the store; otherwise delays the reply by
+    up to maximumProbeReplyDelay. */
 void leadership_task::handleProbe(const wire::leader_probe &request, const peer_server::reply_function &reply)
 {
     recordProbe(request);
@@ -229,7 +230,8 @@
     }
     handOverIfBetterSuited(request);
     m_deferredProbes.push_back({request, reply});
-    if (!m_leader || request.configurationVersion < m_configuration.version) {
+    const bool givesWay = !m_leader || m_leader->isResigning() || m_leader->isStoreRefusing();
+    if (givesWay || request.configurationVersion < m_configuration.version) {
         replyToDeferredProbes();
     }
 }
--- a/tests/control/deposed_leader_test.cpp
+++ b/tests/control/deposed_leader_test.cpp
@@ -135,6 +135,36 @@
     CHECK(response->reply.verdict == wire::work_verdict::not_found);
 }
 
+// Guards against a statement that reaches a follower only after the time for which a probe is held, because it had none under way when it was made.
+TEST_CASE("a leader that the store refuses replies to each probe at once", "[control]")
+{
+    constexpr int probeCount = 3;
+    pair_fixture fixture;
+    fixture.secondStore.isPartitioned = true; // so that nobody takes over
+    fixture.firstStore.isRefused = true;
+    runUntil(fixture.loop, 1s, [&] { return fixture.first.leadership().leader()->isStoreRefusing(); });
+    REQUIRE(fixture.first.leadership().leader()->isStoreRefusing());
+
+    const control_settings prober = controlSettings(2, freePort());
+    const peer_settings proberPeers = peerSettings(prober);
+    peer_link link(fixture.loop, proberPeers, fixture.firstSettings.peerAddress, [](bool) {});
+    runUntil(fixture.loop, 1s, [&] { return link.isReady(); });
+    REQUIRE(link.isReady());
+    const time_point startedAt = fixture.loop.now();
+    for (int number = 0; number < probeCount; ++number) {
+        wire::leader_probe probe;
+        probe.configurationVersion = 1;
+        probe.peerAddress = prober.peerAddress;
+        wire::peer_message message;
+        message.__set_probe(probe);
+        std::optional<bool> isRefused;
+        link.request(message, 1s, [&](const outcome<wire::peer_message> &reply) { isRefused = reply && reply->probeReply.storeRefuses; });
+        runUntil(fixture.loop, 2s, [&] { return isRefused.has_value(); });
+        CHECK(isRefused == true);
+    }
+    CHECK(fixture.loop.now() - startedAt < fixture.firstSettings.maximumProbeReplyDelay);
+}
+
 // Guards against the time of watching where the leader itself says that the store refuses it, also on a deployment that names no successors.
 TEST_CASE("a leader that the store refuses is succeeded at once by an entry host that reaches the store", "[control]")
 {
