--- a/src/control/relay_link.cpp
+++ b/src/control/relay_link.cpp
@@ -96,7 +96,8 @@
 
 void relay_link::poll(const poll_order &order, poll_callback done)
 {
-    add(order, order.wait + m_settings.pollTimeout, std::move(done));
+    const wire::relay_order &added = add(order, order.wait + m_settings.pollTimeout, std::move(done));
+    m_pending[added.number].polledExecutor = order.target.executor;
     ++m_pollsInFlight;
 }
 
@@ -221,9 +222,8 @@
         return;
     }
     const wire::relay_results &results = message.relayResults;
-    if (results.leaving && m_state != link_state::leaving) {
-        m_state = link_state::leaving;
-        m_listener.relayLeaving(*this);
+    if (results.leaving) {
+        leave("it takes no further orders");
     }
     if (results.results.empty()) {
         handleHeartbeatReply();
@@ -254,10 +254,8 @@
             if (node.empty()) {
                 continue; // it has timed out
             }
-            if (std::holds_alternative<poll_callback>(node.mapped().done)) {
-                --m_pollsInFlight;
-                m_failedPolls = isContact(result) ? 0 : m_failedPolls + 1;
-            }
+            m_pollsInFlight -= std::holds_alternative<poll_callback>(node.mapped().done) ? 1 : 0;
+            noteContact(node.mapped(), result);
             completions.push_back(makeCompletion(std::move(node.mapped().done), result));
         }
         m_load.relays().relayedResults += completions.size();
@@ -265,8 +263,18 @@
     for (any_completion &item : completions) {
         std::visit([](auto &ready) { ready.done(std::move(ready.response)); }, item);
     }
-    if (m_failedPolls >= m_settings.maximumFailedPolls && m_state != link_state::lost) {
-        lose("its executors do not respond to it");
+    if (m_silentExecutors.size() >= m_settings.maximumSilentExecutors) {
+        leave("its executors do not respond to it");
+    }
+}
+
+/** Counts the executors that have not responded since the last one that has. */
+void relay_link::noteContact(const pending_order &order, const wire::relay_result &result)
+{
+    if (isContact(result)) {
+        m_silentExecutors.clear();
+    } else if (!order.polledExecutor.empty()) {
+        m_silentExecutors.insert(order.polledExecutor);
     }
 }
 
@@ -304,6 +312,14 @@
     std::get<poll_callback>(node.mapped().done)(std::move(response));
 }
 
+void relay_link::leave(const std::string &reason)
+{
+    if (m_state == link_state::opening || m_state == link_state::ready) {
+        m_state = link_state::leaving;
+        m_listener.relayLeaving(*this, reason);
+    }
+}
+
 void relay_link::lose(const std::string &reason)
 {
     m_state = link_state::lost;
--- a/src/control/relay_link.h
+++ b/src/control/relay_link.h
@@ -6,6 +6,7 @@
 #include "transport/peer_link.h"
 
 #include <functional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -32,8 +33,8 @@
         {
         }
 
-        /** The relay shuts down. It completes the orders that it has and must get no further ones. */
-        virtual void relayLeaving(const relay_link &)
+        /** The relay must get no further orders. It completes those that it has. */
+        virtual void relayLeaving(const relay_link &, const std::string & /*reason*/)
         {
         }
 
@@ -83,6 +84,7 @@
     struct pending_order
     {
         time_point deadline{};
+        std::string polledExecutor; /**< Empty unless it is a poll. */
         std::variant<order_callback, poll_callback> done;
     };
 
@@ -96,6 +98,8 @@
     void checkTimeouts();
     void clearBatch();
     void failBatch(const std::string &reason);
+    void noteContact(const pending_order &order, const wire::relay_result &result);
+    void leave(const std::string &reason);
     void lose(const std::string &reason);
     void complete(std::int64_t number, order_result result, const std::string &reason);
 
@@ -114,7 +118,7 @@
     std::int64_t m_nextNumber; /**< Numbers start at the time of construction, so that those of two links of a process differ. */
     std::unordered_map<std::int64_t, pending_order> m_pending;
     std::size_t m_pollsInFlight = 0;
-    std::size_t m_failedPolls = 0; /**< Since the last poll that got a list. */
+    std::set<std::string> m_silentExecutors; /**< That have not answered a poll, since the last response of any executor. */
     wire::peer_message m_batch; /**< Message under construction; its vectors keep their capacity. */
     std::size_t m_batchBytes = 0;
     time_point m_batchValidUntil = time_point::max();
--- a/src/control/relay_settings.h
+++ b/src/control/relay_settings.h
@@ -28,7 +28,7 @@
     duration maximumSessionGap
         = std::chrono::milliseconds{1500}; /**< After a longer time without a message a relay rejects a session, whose leader has given it up. */
     duration resultInterval = std::chrono::milliseconds{10}; /**< Results of this time share a message. About the interval of the leader's rounds. */
-    std::size_t maximumFailedPolls = 10; /**< A relay with so many polls in a row that got no list is taken to be cut off from its executors. */
+    std::size_t maximumSilentExecutors = 10; /**< A relay for which so many executors in a row, and no other, have not responded is taken to be cut off. */
     std::size_t maximumOrdersInFlight = 4096; /**< Of a relay; further orders are rejected, so that its memory is bounded. */
     std::size_t messageBytes = std::size_t{256} * 1024; /**< A message that has reached this size is sent. Well below maximumMessageBytes. */
 };
--- a/src/control/relayed_executors.cpp
+++ b/src/control/relayed_executors.cpp
@@ -27,7 +27,9 @@
 
 void relayed_executors::recordCandidate(const std::string &address, const std::string &dataCentre)
 {
-    m_dataCentres[dataCentre].candidates[address] = m_loop.now();
+    if (!dataCentre.empty()) {
+        m_dataCentres[dataCentre].candidates[address] = m_loop.now();
+    }
 }
 
 void relayed_executors::start(const start_order &order, std::function<void(order_response)> done)
@@ -152,12 +154,13 @@
     countRelays();
 }
 
-void relayed_executors::relayLeaving(const relay_link &link)
+void relayed_executors::relayLeaving(const relay_link &link, const std::string &reason)
 {
-    m_log.notice("relay no longer in use",
-                 {{"relay", link.address()}, {"reason", "it takes no further orders"}, {"orders", link.ordersInFlight()}, {"executors", link.pollsInFlight()}});
+    logEndOfUse(link, reason);
     for (auto &[name, centre] : m_dataCentres) {
-        centre.candidates.erase(link.address()); // until it probes again, which it does not while it shuts down
+        if (centre.candidates.erase(link.address()) > 0) { // until it probes again, which it does not while it shuts down
+            centre.blockedUntil[link.address()] = m_loop.now() + m_settings.reopenDelay;
+        }
     }
     countRelays();
 }
@@ -165,12 +168,17 @@
 void relayed_executors::relayLost(const relay_link &link, const std::string &reason)
 {
     ++m_load.relays().lostRelays;
-    m_log.notice("relay no longer in use",
-                 {{"relay", link.address()}, {"reason", reason}, {"orders", link.ordersInFlight()}, {"executors", link.pollsInFlight()}});
+    logEndOfUse(link, reason);
     removeLater(link);
     countRelays();
 }
 
+void relayed_executors::logEndOfUse(const relay_link &link, const std::string &reason) const
+{
+    m_log.notice("relay no longer in use",
+                 {{"relay", link.address()}, {"reason", reason}, {"orders", link.ordersInFlight()}, {"executors", link.pollsInFlight()}});
+}
+
 /** Removes a lost link after the current callback, which is one of the link, has returned, and opens another one in its place. */
 void relayed_executors::removeLater(const relay_link &link)
 {
--- a/src/control/relayed_executors.h
+++ b/src/control/relayed_executors.h
@@ -39,12 +39,12 @@
     struct data_centre
     {
         std::map<std::string, time_point> candidates; /**< Address, and when the entry host was last known to be alive. */
-        std::map<std::string, time_point> blockedUntil; /**< Lost relays, which are not opened again before this time. */
+        std::map<std::string, time_point> blockedUntil; /**< Relays that were lost or left, which are not opened again before this time. */
         std::vector<std::unique_ptr<relay_link>> links; /**< Opening, ready or leaving. */
     };
 
     void relayReady(const relay_link &link, duration roundTrip) override;
-    void relayLeaving(const relay_link &link) override;
+    void relayLeaving(const relay_link &link, const std::string &reason) override;
     void relayLost(const relay_link &link, const std::string &reason) override;
     /** The relay of the executor; null if the order is to be sent directly. */
     relay_link *findRelay(const order_target &target);
@@ -53,6 +53,7 @@
     void openLinks(data_centre &centre);
     void maintain();
     void removeLater(const relay_link &link);
+    void logEndOfUse(const relay_link &link, const std::string &reason) const;
     std::string dataCentreOf(const relay_link &link) const;
     void countRelays();
 
