--- a/src/control/relay_link.cpp
+++ b/src/control/relay_link.cpp
@@ -204,7 +204,7 @@
         return;
     }
     if (m_isHeartbeatInFlight) {
-        if (now - m_heartbeatSentAt > m_settings.silenceTimeout) {
+        if (++m_heartbeatChecks >= m_settings.minimumHeartbeatChecks && now - m_heartbeatSentAt > m_settings.silenceTimeout) {
             lose("no reply to a heartbeat");
         }
         return;
@@ -214,6 +214,7 @@
     message.relayOrders.sentMicroseconds = now.time_since_epoch().count();
     m_isHeartbeatInFlight = m_link.sendTo(m_subscription, message);
     m_heartbeatSentAt = now;
+    m_heartbeatChecks = 0;
 }
 
 void relay_link::handleMessage(const wire::peer_message &message)
--- a/src/control/relay_link.h
+++ b/src/control/relay_link.h
@@ -115,6 +115,7 @@
     time_point m_openedAt;
     time_point m_heartbeatSentAt{};
     bool m_isHeartbeatInFlight = false;
+    int m_heartbeatChecks = 0; /**< Since the heartbeat in flight was sent. */
     std::int64_t m_nextNumber; /**< Numbers start at the time of construction, so that those of two links of a process differ. */
     std::unordered_map<std::int64_t, pending_order> m_pending;
     std::size_t m_pollsInFlight = 0;
--- a/tests/control/relay_loss_test.cpp
+++ b/tests/control/relay_loss_test.cpp
@@ -1,6 +1,7 @@
 #include "relay_fixture.h"
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace parsleyglade;
 using namespace std::chrono_literals;
@@ -109,6 +110,18 @@
     CHECK(fixture.direct.starts.size() == 1);
 }
 
+// Guards against an overloaded leader that takes its relays for silent because its own event loop is late, and then sends all orders itself.
+TEST_CASE("a leader whose event loop is late keeps its relays", "[relay]")
+{
+    relay_fixture fixture;
+    fixture.addRelay();
+    REQUIRE(fixture.awaitRelays(1));
+    const auto load = fixture.loop.every(1ms, [] { std::this_thread::sleep_for(70ms); });
+    fixture.run(1500ms);
+    CHECK(fixture.load.relays().relays == 1);
+    CHECK(fixture.load.relays().lostRelays == 0);
+}
+
 // Guards against a relay that replies to heartbeats but loses orders: a poll must end early enough for another one within the lease of 3 s.
 TEST_CASE("an order without a result completes as unanswered after its timeout", "[relay]")
 {
