--- a/src/control/control_settings.h
+++ b/src/control/control_settings.h
@@ -38,7 +38,7 @@
     duration confirmationTimeout = std::chrono::milliseconds{1000}; /**< Maximum time that a call waits for the journal to confirm leadership. */
     duration heartbeatInterval = std::chrono::milliseconds{200}; /**< Maximum time between two appends of the leader. */
     duration journalStallTimeout = std::chrono::milliseconds{700}; /**< A leader without a confirmed append for this long is suspected to have failed. */
-    duration refusalTimeout = std::chrono::milliseconds{200}; /**< A leader whose attempts to append have failed for this long lets another entry host take
+    duration refusalTimeout = std::chrono::milliseconds{150}; /**< A leader whose attempts to append have failed for this long lets another entry host take
                                                                  over. Longer than storeRetryDelay, so that one lost response has no effect. */
     duration successorGrace = std::chrono::milliseconds{1000}; /**< Time that other entry hosts leave to the named successors before they load the journal. */
     duration loadDelayPerMember = std::chrono::milliseconds{25}; /**< Upper bound of the random delay after it, for each known entry host, so that few of them
--- a/src/control/journal_writer.cpp
+++ b/src/control/journal_writer.cpp
@@ -40,6 +40,11 @@
     send();
 }
 
+void journal_writer::giveUpWhenRefused(std::function<void()> givenUp)
+{
+    m_givenUp = std::move(givenUp);
+}
+
 bool journal_writer::isBusy() const
 {
     return static_cast<bool>(m_done);
@@ -88,6 +93,11 @@
         readOwnPosition();
         break;
     case store_append_status::refused:
+        if (m_givenUp && !m_mayHaveBeenAppended) {
+            m_done = nullptr;
+            std::exchange(m_givenUp, nullptr)();
+            return;
+        }
         break;
     }
     logFirstFailure(result.reason);
--- a/src/control/journal_writer.h
+++ b/src/control/journal_writer.h
@@ -37,6 +37,10 @@
         @pre !isBusy() */
     void append(wire::batch_record header, std::vector<journal_entry> entries, std::function<void(std::uint64_t offset)> done);
 
+    /** Gives up an append whose first attempt is refused, instead of retrying it: for a writer that must not compete with a leader that may be able to go on.
+        @param givenUp called instead of the append's callback; the append is certainly not carried out. */
+    void giveUpWhenRefused(std::function<void()> givenUp);
+
     /** Whether an append is in flight. */
     bool isBusy() const;
 
@@ -67,6 +71,7 @@
     std::uint64_t m_end;
     std::function<void()> m_deposed;
     std::function<void()> m_refused;
+    std::function<void()> m_givenUp;
     std::int64_t m_sequence = 0;
     std::vector<journal_entry> m_entries;
     std::function<void(std::uint64_t)> m_done;
--- a/src/control/leadership_election.cpp
+++ b/src/control/leadership_election.cpp
@@ -46,7 +46,9 @@
     if (refusedEnd) {
         // When the store was unreachable from here as well, it is probably back for the leader too, which repeats its append in a moment.
         const bool wasUnavailable = m_announcements.isUnavailable() || m_loop.now() - m_storeFailedAt < storeFailureMemory;
-        m_loader->setRefusedEnd(*refusedEnd, wasUnavailable ? leaderRetries * m_settings.storeRetryDelay : duration::zero());
+        // While the store refuses one leader after the other, each change costs more than the leader's next attempts.
+        const bool isNewLead = m_loop.now() - m_leaderChangedAt < m_settings.minimumTermBeforeHandover;
+        m_loader->setRefusedEnd(*refusedEnd, wasUnavailable || isNewLead ? leaderRetries * m_settings.storeRetryDelay : duration::zero());
     }
     if (m_follower && m_follower->isLoaded()) {
         m_loader->setCopy(m_follower->takeCopy());
@@ -132,6 +134,13 @@
         m_loop.post([old = std::shared_ptr<journal_writer>(std::move(m_takeoverWriter))] {});
         keepCopy({std::move(loaded->restored), loaded->end, loaded->hasResigned});
     });
+    m_takeoverWriter->giveUpWhenRefused([this, loaded] {
+        m_log.info("the store refuses the takeover; retrying later");
+        m_loop.post([old = std::shared_ptr<journal_writer>(std::move(m_takeoverWriter))] {});
+        m_storeFailedAt = m_loop.now();
+        m_nextElection = m_loop.now() + m_settings.electionBackoff;
+        keepCopy({std::move(loaded->restored), loaded->end, loaded->hasResigned});
+    });
     wire::batch_record header;
     header.takeover = true;
     m_takeoverWriter->append(header, {}, [this, loaded](std::uint64_t offset) {
@@ -188,7 +197,7 @@
     m_lastHealthy = m_loop.now();
     m_nextElection = m_loop.now() + m_settings.electionBackoff;
     m_successors = m_choice.names();
-    if (const auto successor = std::exchange(m_successor, std::nullopt)) {
+    if (const auto successor = std::exchange(m_deposedBy, std::nullopt)) {
         follow(successor->address, successor->fence);
     }
     replyToDeferredProbes(); // with the successor, which entry hosts that are refused by the store can't read of
--- a/src/control/leadership_task.cpp
+++ b/src/control/leadership_task.cpp
@@ -184,11 +184,18 @@
         return;
     }
     if (m_leader) {
-        m_successor = announced_leader{address, fence};
+        m_deposedBy = announced_leader{address, fence};
         m_leader->depose(address);
         return;
     }
+    if (fence > m_followedFence && m_followedFence >= 0) {
+        m_leaderChangedAt = m_loop.now();
+    }
     m_followedFence = fence;
+    if (m_takeoverWriter && fence >= static_cast<std::int64_t>(m_takeoverWriter->end())) {
+        // The journal has gone on, so the condition of the takeover can't be met any more.
+        m_loop.post([old = std::shared_ptr<journal_writer>(std::move(m_takeoverWriter))] {});
+    }
     if (m_link && m_link->address() == address) {
         if (m_link->isReady()) {
             m_lastHealthy = m_loop.now();
--- a/src/control/leadership_task.h
+++ b/src/control/leadership_task.h
@@ -149,7 +149,7 @@
     std::string m_lastMemberInTurn; /**< The last one that was queried in the order of addresses. */
     std::uint64_t m_memberQueries = 0;
     std::int64_t m_followedFence = -1;
-    std::optional<announced_leader> m_successor; /**< The entry host that has deposed this one; set until this one has stopped leading. */
+    std::optional<announced_leader> m_deposedBy; /**< The entry host that has deposed this one; set until this one has stopped leading. */
     control_metrics m_metrics;
     std::unique_ptr<leader_task> m_leader;
     std::unique_ptr<journal_loader> m_loader;
@@ -157,6 +157,7 @@
     std::unique_ptr<journal_follower> m_follower; /**< While this entry host is a named successor, except during an election. */
     std::vector<std::string> m_successors; /**< Peer addresses that the leader has named; kept until the next leader names others. */
     successor_choice m_choice; /**< The successors that this entry host names while it leads. */
+    time_point m_leaderChangedAt{}; /**< When this entry host learned that another leader had followed the one that it knew. */
     std::uint64_t m_refusedEnd = 0; /**< End of the journal in the last statement of a refused leader that was acted upon. */
     time_point m_storeFailedAt{}; /**< When an election of this entry host last failed for lack of the store. */
     std::string m_electionReason;
--- a/tests/control/partitioned_store.h
+++ b/tests/control/partitioned_store.h
@@ -20,6 +20,10 @@
     void append(store_topic topic, const std::vector<journal_entry> &entries, std::optional<std::uint64_t> expectedEnd,
                 std::function<void(store_append_result)> done) override
     {
+        if (refusesAppends && topic == store_topic::journal) {
+            fail([done] { done({store_append_status::refused, 0, 0, "refused"}); });
+            return;
+        }
         if (isReachable()) {
             m_shared.append(topic, entries, expectedEnd, std::move(done));
             return;
@@ -66,6 +70,7 @@
 
     bool isPartitioned = false;
     bool isRefused = false;
+    bool refusesAppends = false; /**< Appends to the journal are certainly not carried out, while reads succeed. */
     std::optional<time_point> firstRefusedAppendAt; /**< When the first append to the journal was refused. */
 
 private:
--- a/tests/control/takeover_test.cpp
+++ b/tests/control/takeover_test.cpp
@@ -97,6 +97,26 @@
     CHECK(successor->daemon->leadership().leader()->state().jobCount() == large_deployment::jobCount);
 }
 
+// Guards against successors that go on competing with the leader after their takeover was refused as well, and depose it when the store is back.
+TEST_CASE("a leader goes on leading when the store refuses all appends but serves reads", "[control][takeover]")
+{
+    large_deployment deployment;
+    REQUIRE(deployment.start());
+    constexpr int outages = 4; // after each, the leader and the successors repeat their appends in an order that is chance
+    const auto setRefused = [&](bool refuses) {
+        for (const auto &host : deployment.hosts) {
+            host->store.refusesAppends = refuses;
+        }
+    };
+    for (int outage = 0; outage < outages; ++outage) {
+        setRefused(true);
+        runUntil(deployment.loop, 600ms, [] { return false; });
+        setRefused(false);
+        runUntil(deployment.loop, 1500ms, [] { return false; });
+        REQUIRE(deployment.leader() == deployment.hosts.front().get());
+    }
+}
+
 // Guards against a takeover by a successor that the store refuses as well, and against a leader that is deposed although no other entry host can do better.
 TEST_CASE("a leader that the store refuses goes on leading when it refuses all entry hosts", "[control][takeover]")
 {
