--- a/src/control/relay_link.cpp
+++ b/src/control/relay_link.cpp
@@ -32,8 +32,7 @@
 bool isContact(const wire::relay_result &result)
 {
     const order_result code = decodeOrderResponse(result).result;
-    // A connection that is refused shows that the path to the executor's host works.
-    return code != order_result::not_sent && code != order_result::unanswered;
+    return !isUnsent(code) && code != order_result::unanswered;
 }
 
 } // namespace
