--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -11,7 +11,7 @@
 fi
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-timeout --kill-after=2 110 "$world" second-wave "$here/record.txt" "$folder"
+timeout --kill-after=2 110 "$world" gang-failures "$here/record.txt" "$folder"
 status=$?
 ((status <= 2)) || status=2
 exit $status
--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -1,8 +1,6 @@
 #include "cases.h"
 
 #include <algorithm>
-#include <atomic>
-#include <csignal>
 #include <thread>
 
 namespace review {
@@ -174,57 +172,6 @@
     return isCompleted ? outcome::held : outcome::not_run;
 }
 
-outcome playInterruptedUpkeep(deployment &world, bool isDisturbed)
-{
-    world.addMachines("fitroom", 6, 4, "a");
-    world.addMachines("fitroom", 2, 4, "b");
-    world.configure(nlohmann::json::array({route("pressure-map", usualHost, usualPrefix, "fitroom", 0)}), nlohmann::json::array({service("fitroom")}));
-    std::atomic<int> upkeeps{0};
-    std::atomic<bool> isDark{false};
-    world.onUpkeep = [&](const std::string &) {
-        if (++upkeeps == 2 && isDisturbed) {
-            for (entry_host &host : world.hosts()) {
-                world.signalHost(host, SIGKILL);
-            }
-            isDark = true;
-        }
-    };
-    if (!world.start()) {
-        return outcome::not_run;
-    }
-    const nlohmann::json step{{"Count", 2}, {"Cpu", 1'000}, {"MemMb", 2'000}, {"EstimateMs", 1'000}, {"Requires", "b"}};
-    std::vector<requested_job> before{world.submit(usualHost, usualPrefix, jobOf(step), {1'000}, submitTimeout)};
-    if (!areAllAccepted(before) || !awaitCompletion(world, usualHost, before, seconds{20})) {
-        return outcome::not_run;
-    }
-    sleepFor(seconds{4}); // a new leader orders no upkeep before
-    world.requestWave(1, {"m-fitroom-b-0", "m-fitroom-b-1"}, 2, 26);
-    const time_point deadline = clock::now() + seconds{30};
-    while (world.waveState(1) != "completed" && clock::now() < deadline) {
-        sleepFor(milliseconds{100});
-        if (isDark.exchange(false)) {
-            sleepFor(seconds{4});
-            for (entry_host &host : world.hosts()) {
-                world.startHost(host);
-            }
-        }
-    }
-    if (world.waveState(1) != "completed" || (isDisturbed && upkeeps < 2)) {
-        return outcome::not_run;
-    }
-    sleepFor(seconds{5});
-    std::vector<requested_job> after;
-    for (int number = 0; number < 3; ++number) {
-        after.push_back(world.submit(usualHost, usualPrefix, jobOf(step), {1'000}, submitTimeout));
-    }
-    if (!areAllAccepted(after)) {
-        return outcome::not_run;
-    }
-    sleepFor(finishTime);
-    const bool isBroken = std::any_of(after.begin(), after.end(), [&](const requested_job &job) { return isLeftWaiting(world, usualHost, job, "b"); });
-    return isBroken ? outcome::broken : outcome::held;
-}
-
 outcome playGangFailures(deployment &world, bool isDisturbed)
 {
     constexpr int gangSize = 4;
@@ -320,4 +267,53 @@
     return isBroken ? outcome::broken : outcome::held;
 }
 
+outcome playForgottenEnd(deployment &world, bool isDisturbed)
+{
+    constexpr int firstTasks = 1;
+    world.addMachines("lathehall", 8, 4);
+    world.configure(nlohmann::json::array({route("lathe-path", usualHost, usualPrefix, "lathehall", 1)}), nlohmann::json::array({service("lathehall")}));
+    if (!world.start()) {
+        return outcome::not_run;
+    }
+    std::vector<requested_job> jobs;
+    const nlohmann::json first{{"Count", firstTasks}, {"Cpu", 2'000}, {"MemMb", 2'000}, {"EstimateMs", 600}};
+    jobs.push_back(world.submit(usualHost, usualPrefix, jobOf(first), {600}, submitTimeout));
+    sleepFor(milliseconds{200});
+    std::shared_ptr<executor> chosen;
+    for (const machine &each : world.machines()) {
+        if (each.runs->runningCount() == firstTasks) {
+            chosen = each.runs;
+        }
+    }
+    if (!chosen) {
+        return outcome::not_run;
+    }
+    if (isDisturbed) {
+        chosen->crashWhenTold(firstTasks, milliseconds{100});
+        const time_point deadline = clock::now() + seconds{10};
+        while (chosen->restarts() == 0 && clock::now() < deadline) {
+            sleepFor(milliseconds{5});
+        }
+    } else {
+        sleepFor(seconds{1});
+    }
+    const nlohmann::json next{{"Count", 1}, {"Cpu", 2'000}, {"MemMb", 2'000}, {"EstimateMs", 100}};
+    jobs.push_back(world.submit(usualHost, usualPrefix, jobOf(next), {100}, submitTimeout));
+    sleepFor(seconds{20});
+    if (!areAllAccepted(jobs) || !areAllCompleted(world, usualHost, jobs)) {
+        return outcome::not_run;
+    }
+
+    // Whether a task was started again after a run that has ended `done`, of which the system has taken note.
+    std::map<std::string, int> starts;
+    for (const started_run &start : world.runs().starts()) {
+        ++starts[start.task];
+    }
+    const std::set<std::string> noted = world.runs().notedAsDone();
+    const bool isBroken = std::any_of(starts.begin(), starts.end(), [&](const auto &entry) {
+        return entry.second > 1 && entry.first.starts_with(jobs.back().id) && noted.contains(entry.first);
+    });
+    return isBroken ? outcome::broken : outcome::held;
+}
+
 } // namespace review
--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -17,13 +17,13 @@
 /** The rack on which a whole gang runs is lost. Rule UNASKED. */
 outcome playGangCheckpoints(deployment &world, bool isDisturbed);
 
-/** All entry hosts lose power while the upkeep of two machines is ordered. Rule LOST. */
-outcome playInterruptedUpkeep(deployment &world, bool isDisturbed);
-
 /** An executor fails all that it starts, and a whole gang runs there. Rule LOST. */
 outcome playGangFailures(deployment &world, bool isDisturbed);
 
 /** The leader is stopped in order after two waves of upkeep for the same machines. Rule LOST. */
 outcome playSecondWave(deployment &world, bool isDisturbed);
 
+/** An executor loses power and starts again under its id before the leader knows. Rule TWICE. */
+outcome playForgottenEnd(deployment &world, bool isDisturbed);
+
 } // namespace review
--- a/review/standin-2/deployment.cpp
+++ b/review/standin-2/deployment.cpp
@@ -405,13 +405,20 @@
     const auto interval = std::chrono::milliseconds(m_bounds.heartbeatMilliseconds);
     std::map<std::string, int> silent;
     std::map<std::string, time_point> next;
+    std::map<std::string, int> lives;
     while (true) {
         for (const machine &host : machines()) {
-            if (!host.runs || clock::now() < next[host.runs->id()]) {
+            const bool isDue = host.runs && (clock::now() >= next[host.runs->id()] || lives[host.runs->id()] != host.runs->restarts());
+            if (!isDue) {
                 continue;
             }
             const std::string id = host.runs->id();
+            const bool isNewLife = lives[id] != host.runs->restarts();
+            lives[id] = host.runs->restarts();
             next[id] = clock::now() + interval;
+            if (isNewLife) {
+                continue; // its first check-in is one interval after its start
+            }
             if (host.runs->isDead()) {
                 if (++silent[id] == 3) {
                     m_store.put("keyed.servers", id, "");
--- a/review/standin-2/executor.cpp
+++ b/review/standin-2/executor.cpp
@@ -10,6 +10,7 @@
 
 constexpr auto workInterval = std::chrono::milliseconds{20};
 constexpr int maximumWaitMilliseconds = 2'000;
+constexpr auto silence = std::chrono::seconds{20};
 constexpr int failureMilliseconds = 100;
 constexpr std::int64_t clockAtBoot = 1'000;
 constexpr std::size_t maximumListedEnds = 500;
@@ -58,6 +59,21 @@
     return m_starts;
 }
 
+void run_register::addNoted(const std::string &task, int run, const std::string &how)
+{
+    m_log.write("noted task=" + task + " run=" + std::to_string(run) + ' ' + how);
+    const std::lock_guard lock(m_mutex);
+    if (how == "done") {
+        m_notedAsDone.insert(task);
+    }
+}
+
+std::set<std::string> run_register::notedAsDone()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_notedAsDone;
+}
+
 void run_register::join(const std::string &task, int run, const std::string &checkpoint)
 {
     const std::lock_guard lock(m_mutex);
@@ -188,6 +204,41 @@
     m_isFailing = isFailing;
 }
 
+void executor::crashWhenTold(std::int64_t ends, std::chrono::milliseconds downTime)
+{
+    const std::lock_guard lock(m_mutex);
+    m_crashesAtEnd = ends;
+    m_downTime = downTime;
+}
+
+int executor::restarts() const
+{
+    return m_restarts;
+}
+
+/** What ran is gone, and the next life knows nothing of it. Channels of the former life are silent until something is sent on them. */
+void executor::crash()
+{
+    m_runs.log().write("crash " + m_id);
+    m_server.setSilent(true);
+    m_running.clear();
+    std::thread([this] {
+        std::this_thread::sleep_for(m_downTime);
+        const std::lock_guard lock(m_mutex);
+        m_finished.clear();
+        m_highestEnded.clear();
+        m_fence = 0;
+        m_deadline = 0;
+        m_lastNumber = 0;
+        m_bootedAt = clock::now();
+        m_born = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+        m_server.forgetChannels();
+        m_server.setSilent(false);
+        ++m_restarts;
+        m_runs.log().write("restart " + m_id + " under the same id");
+    }).detach();
+}
+
 http_response executor::answer(const http_request &request)
 {
     const auto instance = request.headers.find("expect-instance");
@@ -294,6 +345,18 @@
         return rejection("fence");
     }
     const std::int64_t lastSeen = order.value("LastSeen", std::int64_t{0});
+    if (m_crashesAtEnd > 0 && lastSeen >= m_crashesAtEnd) {
+        m_crashesAtEnd = 0;
+        crash();
+        lock.unlock();
+        std::this_thread::sleep_for(silence);
+        return {};
+    }
+    for (const ended_run &ended : m_finished) {
+        if (ended.number <= lastSeen) {
+            m_runs.addNoted(ended.task, ended.run, ended.how);
+        }
+    }
     std::erase_if(m_finished, [lastSeen](const ended_run &ended) { return ended.number <= lastSeen; });
     if (order.contains("DeadlineMs")) {
         extend(order.at("DeadlineMs"));
--- a/review/standin-2/executor.h
+++ b/review/standin-2/executor.h
@@ -3,6 +3,8 @@
 #include "http.h"
 #include "record.h"
 
+#include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <map>
@@ -45,6 +47,12 @@
     void addStart(const started_run &start);
     std::vector<started_run> starts();
 
+    /** Notes that the system has taken note of an end. */
+    void addNoted(const std::string &task, int run, const std::string &how);
+
+    /** Tasks of which a run has ended `done`, and the system has taken note of that. */
+    std::set<std::string> notedAsDone();
+
     /** The members of a gang, by step and run. A member is present until it ends; the value is the checkpoint that it was started with. */
     void join(const std::string &task, int run, const std::string &checkpoint);
     void leave(const std::string &task, int run);
@@ -72,6 +80,7 @@
     std::map<std::string, task_kind> m_kinds;
     std::map<std::pair<std::string, int>, gang_state> m_gangs;
     std::vector<started_run> m_starts;
+    std::set<std::string> m_notedAsDone;
 };
 
 /** Figures of a deployment that executors go by. */
@@ -100,6 +109,12 @@
     /** Ends everything that runs here at once, and answers nothing any more. */
     void kill();
 
+    /** Lets the machine lose power when it is next told of that many ends, and start again under the same id at the same address after the time given. */
+    void crashWhenTold(std::int64_t ends, std::chrono::milliseconds downTime);
+
+    /** The number of lives before the present one. */
+    int restarts() const;
+
     /** While set, each task that is started here fails soon after, by the executor's fault. */
     void setFailing(bool isFailing);
 
@@ -132,6 +147,7 @@
     bool acceptsFence(std::int64_t fence);
     void extend(std::int64_t deadline);
     http_response rejection(const std::string &reason) const;
+    void crash();
     void work();
     void advance(std::int64_t elapsed);
     bool advanceTask(const std::string &task, running_task &state, std::int64_t elapsed);
@@ -146,6 +162,9 @@
     std::condition_variable m_ended;
     bool m_isDead = false;
     bool m_isFailing = false;
+    std::int64_t m_crashesAtEnd = 0; /**< Crashes when told of this end; 0 for never. */
+    std::chrono::milliseconds m_downTime{};
+    std::atomic<int> m_restarts{0};
     std::int64_t m_fence = 0;
     std::int64_t m_deadline = 0;
     std::int64_t m_lastNumber = 0;
--- a/review/standin-2/http.cpp
+++ b/review/standin-2/http.cpp
@@ -171,6 +171,11 @@
     m_isSilent = isSilent;
 }
 
+void http_server::forgetChannels()
+{
+    ++m_life;
+}
+
 void http_server::acceptChannels()
 {
     while (true) {
@@ -185,12 +190,16 @@
 void http_server::serveChannel(int socket)
 {
     std::string buffer;
+    const int life = m_life;
     while (const auto message = readMessage(socket, buffer)) {
+        if (life != m_life) {
+            break;
+        }
         if (m_isSilent) {
             continue;
         }
         const http_response response = m_answer(parseRequest(message->first, message->second));
-        if (response.status == 0 || m_isSilent) {
+        if (response.status == 0 || m_isSilent || life != m_life) {
             break;
         }
         const std::string head = "HTTP/1.1 " + std::to_string(response.status)
@@ -228,12 +237,21 @@
 
 int findFreePort()
 {
-    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const sockaddr_in any = loopback(0);
-    ::bind(socket, reinterpret_cast<const sockaddr *>(&any), sizeof(any));
-    const int port = portOf(socket);
-    ::close(socket);
-    return port;
+    // Below the ports that the system gives to outgoing channels, which could take a free one before the process binds it.
+    constexpr int firstPort = 12'000;
+    constexpr int portCount = 20'000;
+    constexpr int portsPerProcess = 97;
+    static int next = static_cast<int>(::getpid()) * portsPerProcess % portCount;
+    while (true) {
+        const int port = firstPort + next++ % portCount;
+        const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const sockaddr_in address = loopback(port);
+        const bool isFree = ::bind(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0;
+        ::close(socket);
+        if (isFree) {
+            return port;
+        }
+    }
 }
 
 } // namespace review
--- a/review/standin-2/http.h
+++ b/review/standin-2/http.h
@@ -41,6 +41,9 @@
     /** While silent, requests are read and neither carried out nor answered, as by a machine without power. */
     void setSilent(bool isSilent);
 
+    /** Ends each open channel, without an answer, when its next request arrives, as a machine does that has started anew. */
+    void forgetChannels();
+
 private:
     void acceptChannels();
     void serveChannel(int socket);
@@ -49,6 +52,7 @@
     std::string m_address;
     int m_listener = -1;
     std::atomic<bool> m_isSilent{false};
+    std::atomic<int> m_life{0};
 };
 
 /** Sends one request to IP:PORT on a channel of its own. Returns nothing when there is no complete response in time. */
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -16,9 +16,8 @@
 int main(int argc, char *argv[])
 {
     const std::map<std::string, review::outcome (*)(review::deployment &, bool)> cases{
-        {"gang-without-room", review::playGangWithoutRoom},    {"gang-checkpoints", review::playGangCheckpoints},
-        {"gang-failures", review::playGangFailures},           {"second-wave", review::playSecondWave},
-        {"interrupted-upkeep", review::playInterruptedUpkeep},
+        {"gang-without-room", review::playGangWithoutRoom}, {"gang-checkpoints", review::playGangCheckpoints}, {"forgotten-end", review::playForgottenEnd},
+        {"gang-failures", review::playGangFailures},        {"second-wave", review::playSecondWave},
     };
     const auto found = argc == 4 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
