--- a/src/scheduler/executor_state.h
+++ b/src/scheduler/executor_state.h
@@ -14,13 +14,21 @@
 
 namespace parsleyglade {
 
-/** A start order that got no response. A later boot of the executor may still carry it out until the order expires. */
+/** A start order that has no response yet. */
+struct pending_start
+{
+    run_key run;
+    time_point sentAt{};
+};
+
+/** A start order that got no response, or had none when a new boot became known. A later boot of the executor may still carry it out until it expires. */
 struct unanswered_start
 {
     run_key run;
     time_point until{}; /**< The order can no longer be carried out after this time. */
     bool isBlocked = true; /**< The current boot rejects the order: it is the boot that the order was sent to, or it has confirmed a stop of the run. */
     time_point sentAt{}; /**< When a stop order for the run was last sent to the current boot. */
+    bool isPending = false; /**< The order may still get its response, which shows that it can't be carried out later. */
 };
 
 /** The leader's view of one executor: registry entry, clock, lease, runs and state of the poll loop. */
@@ -45,6 +53,7 @@
     std::int64_t pollAcknowledges = 0; /**< The number that the poll in flight acknowledges. */
     resources used; /**< Reserved by all runs that are or may be alive. */
     std::vector<attached_run> runs;
+    std::vector<pending_start> pendingStarts;
     std::vector<unanswered_start> unansweredStarts;
     bool isPolling = false; /**< A poll is in flight. */
     bool isPollGrantingLease = false; /**< The poll in flight, or the last one, extends the lease. */
--- a/src/scheduler/scheduler_ends.cpp
+++ b/src/scheduler/scheduler_ends.cpp
@@ -74,7 +74,7 @@
     }
     countFailure(executor, job.id, now);
     ++task.failures;
-    task.notBefore = now + m_settings.restartBackoff;
+    task.notBefore = std::max(task.notBefore, now + m_settings.restartBackoff);
     if (!isFinal(job.state) && hasExhaustedAttempts(job, taskId)) {
         finish(job, work_state::failed, m_wallNow);
     }
--- a/src/scheduler/scheduler_executors.cpp
+++ b/src/scheduler/scheduler_executors.cpp
@@ -31,6 +31,7 @@
         addDecision("new-boot", {}, executor.description.id, "boot=" + std::to_string(boot) + " runs=" + std::to_string(executor.runs.size()));
         handleRunsOfEarlierBoot(executor, now);
     }
+    expectLateStarts(executor);
     for (unanswered_start &order : executor.unansweredStarts) {
         order.isBlocked = false;
         order.sentAt = time_point{};
@@ -251,7 +252,7 @@
     addTaskDecision("run-lost", key.task, executor.description.id, "run=" + std::to_string(key.run) + " loss=" + std::string(loss));
     scheduled_job &job = *findMutableJob(key.task.job);
     ++countersOf(job).lostRuns;
-    job.task(key.task).notBefore = now;
+    delayTask(key, now);
     releaseRun(key);
 }
 
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -45,6 +45,7 @@
     run.phaseStartedAt = now;
     run.orderedAt = now;
     run.isOrderInFlight = true;
+    executor.pendingStarts.push_back({key, now});
     countStart(job, now);
     start_order order{targetOf(executor), key.task, key.run, job.work.payload, job.task(key.task).checkpoint, {}, grantLease(executor, now)};
     addTaskDecision("start", key.task, run.executor, decision_entry::input_list{{{"run", key.run}, {"batch", static_cast<std::int64_t>(m_batch)}}});
@@ -112,6 +113,8 @@
     }
     executor_state &executor = found->second;
     touch(executor);
+    const run_key key{order.task, order.run};
+    settlePendingStart(executor, key, response.result, sentAt, now);
     if (response.result == order_result::other_boot) {
         handleLostRuns(executor, run_loss::replaced, now);
         executor.isListed = false;
@@ -141,11 +144,6 @@
         }
     }
 
-    const run_key key{order.task, order.run};
-    if (response.result == order_result::unanswered) {
-        const bool isForThisBoot = sentAt >= executor.bootKnownAt;
-        executor.unansweredStarts.push_back({key, sentAt + m_settings.lateOrderTimeout, isForThisBoot, {}});
-    }
     scheduled_run *run = findRun(key);
     if (run == nullptr || run->executor != order.target.executor || run->phase == run_phase::running) {
         return;
@@ -217,7 +215,7 @@
         stopRun(run, now);
         return;
     }
-    findMutableJob(order.task.job)->task(order.task).notBefore = now + m_settings.restartBackoff;
+    delayTask(key, now + m_settings.restartBackoff);
     releaseRun(key);
 }
 
@@ -256,12 +254,49 @@
     }
 }
 
-/** Sets the earliest time of the next start of a task, if the task still exists. */
+/** Delays the next start of a task until the given time at least, if the task still exists. */
 void scheduler::delayTask(const run_key &key, time_point until)
 {
     if (scheduled_task *task = findTask(key.task)) {
-        task->notBefore = until;
+        task->notBefore = std::max(task->notBefore, until);
+    }
+}
+
+/** Takes the start orders that have no response yet for unanswered ones, because a new boot of the executor has become known. Waiting for their responses would
+    be too late: once the new boot has confirmed a stop of the run, its task would be started again. */
+void scheduler::expectLateStarts(executor_state &executor)
+{
+    for (const pending_start &order : std::exchange(executor.pendingStarts, {})) {
+        executor.unansweredStarts.push_back({order.run, order.sentAt + m_settings.lateOrderTimeout, false, {}, true});
+    }
+}
+
+/** Takes note of the outcome of a start order. */
+void scheduler::settlePendingStart(executor_state &executor, const run_key &key, order_result result, time_point sentAt, time_point now)
+{
+    const auto pending
+        = std::find_if(executor.pendingStarts.begin(), executor.pendingStarts.end(), [&](const pending_start &order) { return order.run == key; });
+    if (pending != executor.pendingStarts.end()) {
+        executor.pendingStarts.erase(pending);
+    }
+    const auto expected = std::find_if(executor.unansweredStarts.begin(), executor.unansweredStarts.end(),
+                                       [&](const unanswered_start &order) { return order.isPending && order.run == key; });
+    if (result == order_result::unanswered) {
+        if (expected != executor.unansweredStarts.end()) {
+            expected->isPending = false;
+        } else {
+            executor.unansweredStarts.push_back({key, sentAt + m_settings.lateOrderTimeout, sentAt >= executor.bootKnownAt, {}, false});
+        }
+        return;
+    }
+    if (expected == executor.unansweredStarts.end()) {
+        return;
+    }
+    scheduled_task *task = findTask(key.task);
+    if (task != nullptr && task->notBefore == expected->until) {
+        task->notBefore = now; // the order can't be carried out later
     }
+    executor.unansweredStarts.erase(expected);
 }
 
 /** Sends stop orders for abandoned runs whose start order may still reach the current boot, which would otherwise accept it. */
--- a/src/scheduler/scheduler_polls.cpp
+++ b/src/scheduler/scheduler_polls.cpp
@@ -241,7 +241,7 @@
     case run_phase::running:
         if (run.phaseStartedAt < sentAt) {
             addTaskDecision("run-vanished", key.task, executor.description.id, "run=" + std::to_string(key.run));
-            findMutableJob(key.task.job)->task(key.task).notBefore = now;
+            delayTask(key, now);
             releaseRun(key);
         }
         return;
--- a/tests/scheduler/executor_reboot_test.cpp
+++ b/tests/scheduler/executor_reboot_test.cpp
@@ -277,3 +277,41 @@
     cluster.state.handleStartResponse(cluster.starts.front(), {order_result::done, cluster.clock()}, sentAt, cluster.now);
     CHECK(cluster.state.findExecutor("a")->clockMilliseconds == fixture.newClock());
 }
+
+// Guards against two runs of a task: a start order was in flight when the registry showed a new boot. That boot confirmed the stop of the run and the task
+// was started elsewhere; only then the order counted as unanswered, and a third boot carried it out (seed 76958718093545 of the property test).
+TEST_CASE("a task whose start order is in flight when a new boot is known waits until the order can no longer be carried out")
+{
+    reboot_fixture fixture;
+    manual_cluster &cluster = fixture.cluster;
+    cluster.addExecutor("b");
+    const time_point orderedAt = cluster.now;
+    cluster.now += 20ms;
+    fixture.showNewBoot();
+    cluster.settle();
+    REQUIRE_FALSE(cluster.stops.empty());
+    cluster.state.handleStopResponse(cluster.stops.front(), {order_result::done, fixture.newClock()}, cluster.now);
+    cluster.now += 20ms;
+    REQUIRE(cluster.state.takePoll("a", cluster.now));
+    cluster.state.handlePollResponse("a", fixture.listOf(secondBoot, {}, {}), cluster.now, cluster.now);
+    cluster.settle();
+    CHECK(cluster.starts.size() == 1);
+
+    SECTION("without a response it waits for the longest delay of an order")
+    {
+        cluster.now = orderedAt + 1s;
+        cluster.state.handleStartResponse(cluster.starts.front(), {order_result::unanswered, 0}, orderedAt, cluster.now);
+        cluster.now = orderedAt + scheduler_settings{}.lateOrderTimeout - 30ms;
+        cluster.settle();
+        CHECK(cluster.starts.size() == 1);
+        cluster.settle(60ms);
+        CHECK(cluster.starts.size() == 2);
+    }
+    SECTION("with a response it need not wait")
+    {
+        cluster.now += 20ms;
+        cluster.state.handleStartResponse(cluster.starts.front(), {order_result::superseded, fixture.newClock()}, orderedAt, cluster.now);
+        cluster.settle(60ms);
+        CHECK(cluster.starts.size() == 2);
+    }
+}
