--- a/src/scheduler/executor_state.h
+++ b/src/scheduler/executor_state.h
@@ -6,6 +6,7 @@
 #include "scheduler/resources.h"
 #include "scheduler/run_key.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -50,7 +51,12 @@
     std::int64_t endApplied = 0; /**< Number of the last end that was applied to the state. */
     std::int64_t endRecorded = 0; /**< Number of the last end that is recorded in the journal. */
     std::int64_t endAcknowledged = 0; /**< Number of the last end that was acknowledged to the executor. */
-    std::int64_t pollAcknowledges = 0; /**< The number that the poll in flight acknowledges. */
+    std::int64_t pollAcknowledges = 0; /**< The number of an end of the known boot that the poll in flight acknowledges. */
+    bool isPollAcknowledging = false; /**< The poll in flight acknowledges ends, perhaps of an earlier boot. */
+    time_point pollDueAt{}; /**< The response to the poll in flight is overdue after this time. */
+    time_point lateAcknowledgementUntil{}; /**< An unanswered poll that acknowledges ends may still be carried out until this time. */
+    time_point unattributedStartAt{}; /**< When the outcome of a start order was last known that a later boot than the known one may have carried out. */
+    std::vector<run_key> heldStarts; /**< Recorded runs whose start order waits for an overdue response to a poll that acknowledges ends. */
     resources used; /**< Reserved by all runs that are or may be alive. */
     std::vector<attached_run> runs;
     std::vector<pending_start> pendingStarts;
@@ -74,6 +80,21 @@
         return description.capacity - used;
     }
 
+    /** Whether the executor can have no ends but those that this leader has seen, so that it may forget ends by their number. Ends of a boot that is not
+        known yet would be numbered from the start again; it has some only if it has received a start order. */
+    bool mayAcknowledgeEnds() const
+    {
+        const bool hasStartInFlight = !pendingStarts.empty()
+            || std::any_of(unansweredStarts.begin(), unansweredStarts.end(), [](const unanswered_start &order) { return order.isPending; });
+        return !hasStartInFlight && bootSeenAt > unattributedStartAt;
+    }
+
+    /** Whether a poll that acknowledges ends may still be on its way to the executor. A start order could then overtake it. */
+    bool isAcknowledgementOverdue(time_point now) const
+    {
+        return isPollAcknowledging && now > pollDueAt;
+    }
+
     /** Whether a run that was placed on the executor may still be started there. */
     bool acceptsStarts() const
     {
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -262,6 +262,7 @@
     void confirmRun(scheduled_job &job, const task_id &taskId, scheduled_run &run);
     void stopRun(scheduled_run &run, time_point now);
     void stopAllRuns(scheduled_job &job, time_point now);
+    void startOrHold(const run_key &key, scheduled_run &run, time_point now);
     void sendStart(const run_key &key, scheduled_run &run, time_point now);
     void sendStop(const run_key &key, scheduled_run &run, time_point now);
     void handleNewBoot(executor_state &executor, std::int64_t boot, time_point now);
@@ -277,12 +278,16 @@
     bool isGone(const executor_state &executor) const;
     void repeatOrders(executor_state &executor, time_point now);
     void noteFailedContact(executor_state &executor, order_result result, time_point now);
+    void applyPollResponse(executor_state &executor, const poll_response &response, time_point sentAt, time_point now);
+    void noteLateAcknowledgement(executor_state &executor, time_point sentAt);
+    void sendHeldStarts(executor_state &executor, time_point now);
     void reconcile(executor_state &executor, const poll_response &response, time_point sentAt, time_point now);
     void stopStray(executor_state &executor, const running_entry &entry, time_point now);
     void reconcileMissing(executor_state &executor, const run_key &key, scheduled_run &run, time_point sentAt, time_point now);
     void reconcileRunning(const attached_run &known, scheduled_run &run, const running_entry &entry, time_point sentAt, time_point now);
     void handleRejectedStart(const start_order &order, scheduled_run &run, const order_response &response, time_point now);
     void updateClock(executor_state &executor, std::int64_t clockMilliseconds, time_point now) const;
+    bool isFromKnownBoot(const executor_state &executor, std::int64_t clockMilliseconds, time_point sentAt, time_point now) const;
     std::int64_t grantLease(executor_state &executor, time_point now) const;
     duration longestLocalTime(duration lease) const;
     void assumeLongestLease(executor_state &executor, time_point receivedBy);
--- a/src/scheduler/scheduler_batches.cpp
+++ b/src/scheduler/scheduler_batches.cpp
@@ -153,7 +153,7 @@
     measureStartDelay(now); // the owner may pass on calls before the next decide()
     for (const run_key &key : recorded) {
         if (scheduled_run *run = findRun(key)) {
-            sendStart(key, *run, now);
+            startOrHold(key, *run, now);
         }
     }
 }
--- a/src/scheduler/scheduler_executors.cpp
+++ b/src/scheduler/scheduler_executors.cpp
@@ -4,6 +4,21 @@
 
 namespace parsleyglade {
 
+namespace {
+
+// Readings of an executor's clock may differ from the exact time of the order by this much, in milliseconds.
+constexpr std::int64_t clockRounding = 50;
+
+// A registry entry and its reading of the clock may be this old when the leader learns of them, in milliseconds. The clock of a new boot starts near zero.
+constexpr std::int64_t maximumReadingAge = 3000;
+
+template <typename Duration> std::int64_t toMilliseconds(Duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+} // namespace
+
 void scheduler::updateExecutor(const executor_description &description, time_point now)
 {
     executor_state &executor = m_executors[description.id];
@@ -44,6 +59,9 @@
     if (executor.lateGrantUntil > now) {
         assumeLongestLease(executor, executor.lateGrantUntil);
     }
+    if (executor.lateAcknowledgementUntil > now) {
+        executor.avoidUntil = std::max(executor.avoidUntil, executor.lateAcknowledgementUntil); // it may make this boot forget ends
+    }
     executor.lastGrantAt = time_point{};
     executor.bootSeenAt = time_point{};
     forgetEnds(executor);
@@ -141,6 +159,19 @@
     }
 }
 
+/** Whether a response with this reading of the clock was certainly given by the known boot: the clock goes on from its last reading, and a later boot cannot
+    have come so far since then. @param sentAt when the order was sent */
+bool scheduler::isFromKnownBoot(const executor_state &executor, std::int64_t clockMilliseconds, time_point sentAt, time_point now) const
+{
+    if (clockMilliseconds == 0 || executor.clockMilliseconds == 0 || sentAt < executor.clockReadAt) {
+        return false;
+    }
+    const std::int64_t earliest = executor.clockMilliseconds + toMilliseconds((sentAt - executor.clockReadAt) * m_settings.minimumClockRate) - clockRounding;
+    const std::int64_t latest = executor.clockMilliseconds + toMilliseconds(now - executor.clockReadAt) + maximumReadingAge;
+    const std::int64_t latestOfNextBoot = maximumReadingAge + toMilliseconds(now - executor.clockReadAt);
+    return clockMilliseconds >= earliest && clockMilliseconds <= latest && clockMilliseconds > latestOfNextBoot;
+}
+
 /** Returns the longest local time in which the clock of an executor advances by the lease. */
 duration scheduler::longestLocalTime(duration lease) const
 {
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -20,6 +20,30 @@
 
 } // namespace
 
+/** Sends the start order of a recorded run. Keeps it while the response to a poll that acknowledges ends is overdue: the executor may have started again, and
+    would forget the end of this run if it received the poll after the order. */
+void scheduler::startOrHold(const run_key &key, scheduled_run &run, time_point now)
+{
+    executor_state &executor = m_executors[run.executor];
+    if (executor.isAcknowledgementOverdue(now)) {
+        executor.heldStarts.push_back(key);
+        return;
+    }
+    sendStart(key, run, now);
+}
+
+void scheduler::sendHeldStarts(executor_state &executor, time_point now)
+{
+    if (m_resigned) {
+        return; // the successor finds that these runs were never started
+    }
+    for (const run_key &key : std::exchange(executor.heldStarts, {})) {
+        if (scheduled_run *run = findRun(key)) {
+            sendStart(key, *run, now);
+        }
+    }
+}
+
 void scheduler::sendStart(const run_key &key, scheduled_run &run, time_point now)
 {
     executor_state &executor = m_executors[run.executor];
@@ -115,6 +139,9 @@
     touch(executor);
     const run_key key{order.task, order.run};
     settlePendingStart(executor, key, response.result, sentAt, now);
+    if (!isUnsent(response.result) && !isFromKnownBoot(executor, response.clockMilliseconds, sentAt, now)) {
+        executor.unattributedStartAt = now;
+    }
     if (response.result == order_result::other_boot) {
         handleLostRuns(executor, run_loss::replaced, now);
         executor.isListed = false;
@@ -323,7 +350,7 @@
         const bool isDue = now - run->phaseStartedAt >= m_settings.orderRetryDelay;
         if (run->phase == run_phase::stopping && (isDue || run->phaseStartedAt == now || executor.failedContacts == 0)) {
             sendStop(key, *run, now);
-        } else if (run->phase == run_phase::unanswered && isDue && executor.failedContacts == 0) {
+        } else if (run->phase == run_phase::unanswered && isDue && executor.failedContacts == 0 && !executor.isAcknowledgementOverdue(now)) {
             sendStart(key, *run, now);
             return; // sendStart() may have changed executor.runs; the next decision handles the others
         }
--- a/src/scheduler/scheduler_polls.cpp
+++ b/src/scheduler/scheduler_polls.cpp
@@ -40,18 +40,22 @@
     const bool hasUnacknowledged = executor.endRecorded > executor.endAcknowledged;
     poll_order order;
     order.target = targetOf(executor);
-    order.acknowledgedUpTo = hasUnacknowledged ? executor.endRecorded : 0; // a boot that is not known yet would take the number as one of its own
+    // A boot that is not known yet would take the number as one of its own, and forget ends that this leader has not seen.
+    const bool acknowledges = hasUnacknowledged && executor.mayAcknowledgeEnds();
+    order.acknowledgedUpTo = acknowledges ? executor.endRecorded : 0;
     if (!executor.runs.empty() && executor.failedContacts == 0 && executor.clockMilliseconds > 0) {
         order.leaseEnd = grantLease(executor, now);
     }
-    const bool hasUnrecorded = executor.endApplied > executor.endRecorded;
-    if (executor.isSynchronised && executor.failedContacts == 0 && !executor.runs.empty() && !hasUnrecorded && !needsPromptList(executor)) {
+    const bool listsEnds = executor.endApplied > executor.endRecorded || hasUnacknowledged != acknowledges;
+    if (executor.isSynchronised && executor.failedContacts == 0 && !executor.runs.empty() && !listsEnds && !needsPromptList(executor)) {
         order.wait = m_settings.pollWait;
     }
     ++m_counters.pollOrders;
     executor.isPolling = true;
     executor.isPollGrantingLease = order.leaseEnd.has_value();
     executor.pollAcknowledges = order.acknowledgedUpTo;
+    executor.isPollAcknowledging = acknowledges;
+    executor.pollDueAt = now + order.wait + m_settings.overduePollDelay;
     touch(executor);
     return order;
 }
@@ -88,6 +92,28 @@
     executor_state &executor = found->second;
     executor.isPolling = false;
     touch(executor);
+    const bool wasAcknowledging = std::exchange(executor.isPollAcknowledging, false);
+    if (wasAcknowledging && response.result == order_result::unanswered) {
+        noteLateAcknowledgement(executor, sentAt);
+    }
+    applyPollResponse(executor, response, sentAt, now);
+    if (wasAcknowledging) {
+        sendHeldStarts(executor, now);
+    }
+}
+
+/** Takes note of a poll without a response that acknowledges ends. It may still be carried out, also by a later boot. */
+void scheduler::noteLateAcknowledgement(executor_state &executor, time_point sentAt)
+{
+    executor.lateAcknowledgementUntil = sentAt + m_settings.lateOrderTimeout;
+    if (sentAt < executor.bootKnownAt) {
+        executor.avoidUntil = std::max(executor.avoidUntil, executor.lateAcknowledgementUntil);
+    }
+}
+
+void scheduler::applyPollResponse(executor_state &executor, const poll_response &response, time_point sentAt, time_point now)
+{
+    const std::string &id = executor.description.id;
     if (response.boot != 0 && response.boot < executor.description.boot) {
         addDecision("stale-list", {}, id, "boot=" + std::to_string(response.boot) + " known=" + std::to_string(executor.description.boot));
         executor.nextPoll = now;
--- a/src/scheduler/scheduler_settings.h
+++ b/src/scheduler/scheduler_settings.h
@@ -11,6 +11,7 @@
     duration maximumLease = std::chrono::seconds{10}; /**< Executors shorten every longer lease to this. */
     duration pollWait = std::chrono::milliseconds{800}; /**< Long poll: how long an executor may delay its response. Less than a third of the lease. */
     duration listDelay = std::chrono::milliseconds{700}; /**< How much longer than pollWait a response to a poll may take. */
+    duration overduePollDelay = std::chrono::milliseconds{100}; /**< A response to a poll is overdue once it takes this much longer than its wait. */
     duration pollRetryDelay = std::chrono::milliseconds{300}; /**< Delay after a failed poll. */
     duration idlePollRetryDelay = std::chrono::seconds{1}; /**< The same for an executor without runs, whose silence endangers no task. */
     duration pollSpacing = std::chrono::milliseconds{30}; /**< Minimum time from a response to the next poll, so that one poll reports several ends. */
--- a/tests/scheduler/scheduling_property_test.cpp
+++ b/tests/scheduler/scheduling_property_test.cpp
@@ -228,6 +228,20 @@
     checkSeeds(faults);
 }
 
+// Guards against acknowledgements that reach a boot they were not meant for: it forgets ends that the leader has not seen, and done tasks are started again
+// (review case 6). Short tasks on executors that restart all the time have ends to acknowledge in each boot.
+TEST_CASE("no task runs twice when executors restart unnoticed while their ends are acknowledged", "[scheduler]")
+{
+    constexpr simulated_load shortTasks{40, 1, std::chrono::seconds{28}};
+    simulated_faults faults;
+    faults.lostResponse = 0.1;
+    faults.crashInterval = std::chrono::milliseconds{300};
+    faults.downTime = std::chrono::milliseconds{100};
+    faults.registryInterval = std::chrono::milliseconds{1500};
+    faults.mayRefuse = true;
+    checkSeeds(faults, false, shortTasks);
+}
+
 // Guards against decisions of a leader that has no configuration yet: runs fail while it takes over and before its configuration arrives.
 TEST_CASE("a job fails only after its permitted attempts when leaders change and their configuration arrives late", "[scheduler]")
 {
