--- a/idl/parsleyglade.thrift
+++ b/idl/parsleyglade.thrift
@@ -289,10 +289,11 @@
     2: i32 step
     3: i32 index
     4: i32 lastRun
-    5: i32 failures
+    5: i32 failures                // runs that failed; a failed run of a gang counts for one of its members
     6: bool done
     7: binary checkpoint
     8: list<run_record> runs       // that may be alive
+    9: i32 lastFailedRun           // 0 if none has failed
 }
 
 struct progress_record {
--- a/src/scheduler/job_records.cpp
+++ b/src/scheduler/job_records.cpp
@@ -48,6 +48,7 @@
     record.index = index;
     record.lastRun = task.lastRun;
     record.failures = task.failures;
+    record.lastFailedRun = task.lastFailedRun;
     record.done = task.done;
     if (!task.done) {
         record.checkpoint = task.checkpoint;
@@ -194,9 +195,10 @@
         scheduled_task &task = step.tasks[static_cast<std::size_t>(record.index)];
         task.lastRun = record.lastRun;
         task.failures = record.failures;
+        task.lastFailedRun = record.lastFailedRun;
         task.checkpoint = record.checkpoint;
         task.done = record.done;
-        job.hasBegun = job.hasBegun || record.done || record.failures > 0 || !record.checkpoint.empty();
+        job.hasBegun = job.hasBegun || record.done || record.lastFailedRun > 0 || record.failures > 0 || !record.checkpoint.empty();
         step.doneCount += record.done ? 1 : 0;
         for (const wire::run_record &entry : record.runs) {
             scheduled_run &run = task.runs.emplace_back();
--- a/src/scheduler/scheduled_job.h
+++ b/src/scheduler/scheduled_job.h
@@ -47,7 +47,8 @@
 struct scheduled_task
 {
     int lastRun = 0; /**< Number of the latest run; 0 if there was none. */
-    int failures = 0; /**< Runs that failed. */
+    int failures = 0; /**< Runs that failed. A failed run of a gang counts for one of its members. */
+    int lastFailedRun = 0; /**< Number of the latest run that failed; 0 if none has. */
     bool done = false;
     std::string checkpoint; /**< The latest known checkpoint; empty if there is none. */
     std::string lastExecutor; /**< Executor of the last run that ended. */
--- a/src/scheduler/scheduler_ends.cpp
+++ b/src/scheduler/scheduler_ends.cpp
@@ -73,7 +73,11 @@
         return;
     }
     countFailure(executor, job.id, now);
-    ++task.failures;
+    // The members of a gang run and fail together, so that the first failed end of a run counts for all of them.
+    const bool isCounted = description.gang
+        && std::any_of(step.tasks.begin(), step.tasks.end(), [&](const scheduled_task &member) { return member.lastFailedRun == entry.run; });
+    task.failures += isCounted ? 0 : 1;
+    task.lastFailedRun = entry.run;
     task.notBefore = std::max(task.notBefore, now + m_settings.restartBackoff);
     if (!isFinal(job.state) && hasExhaustedAttempts(job, taskId)) {
         finish(job, work_state::failed, m_wallNow);
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -322,7 +322,7 @@
     if (!step.preferredRack.empty() && step.preferredRack != executor.description.rack) {
         cost += otherRackCost;
     }
-    if (task.failures > 0 && task.lastExecutor == executor.description.id) {
+    if (task.lastFailedRun > 0 && task.lastExecutor == executor.description.id) {
         cost += sameExecutorAgainCost;
     }
     if (step.tightlyCoupled) {
