--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -210,7 +210,6 @@
     {
         std::string service;
         std::optional<resources> unplaceable; /**< Last demand without placement constraints that fitted nowhere; larger demands need no search. */
-        bool isBesideGang = false; /**< It had no room beside other members of its gang, which were not placed, so that smaller demands may have. */
     };
 
     /** Which executors of a list a search for a task need not look at. */
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -42,7 +42,7 @@
     m_rounds.clear();
     for (const ranked_job &ranked : rankWaitingJobs(wallNow)) {
         ++m_counters.jobVisits;
-        service_round &round = m_rounds.try_emplace(ranked.queue->service, service_round{ranked.queue->service, {}, false}).first->second;
+        service_round &round = m_rounds.try_emplace(ranked.queue->service, service_round{ranked.queue->service, {}}).first->second;
         if (round.unplaceable && round.unplaceable->fitsInto(ranked.job->smallestDemand)) {
             continue; // an earlier job of this round needed no more and found no room
         }
@@ -197,6 +197,7 @@
     }
 
     const resources demand = reservedBy(job.work.steps[static_cast<std::size_t>(step)]);
+    const std::optional<resources> unplaceableBefore = round.unplaceable;
     std::vector<executor_state *> chosen;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         executor_state *executor = chooseExecutor(job, round, {job.id, occurrence, step, static_cast<int>(index)});
@@ -212,7 +213,9 @@
         m_capacity.update(*executor);
     }
     if (chosen.size() < tasks.size()) {
-        round.isBesideGang = round.isBesideGang || !chosen.empty();
+        if (!chosen.empty()) {
+            round.unplaceable = unplaceableBefore; // there was no room beside the other members, whose reservations are undone
+        }
         return;
     }
     for (std::size_t index = 0; index < tasks.size(); ++index) {
@@ -229,8 +232,8 @@
     }
 
     // An earlier search in this round has found no room from its demand on. Unless this demand is smaller in another resource, it need not look there.
-    const bool isExceeded = round.unplaceable && !round.isBesideGang && round.unplaceable->memoryMegabytes <= demand.memoryMegabytes
-        && round.unplaceable->accelerators <= demand.accelerators;
+    const bool isExceeded
+        = round.unplaceable && round.unplaceable->memoryMegabytes <= demand.memoryMegabytes && round.unplaceable->accelerators <= demand.accelerators;
     const std::int64_t limit = isExceeded ? round.unplaceable->cpuMillicores : std::numeric_limits<std::int64_t>::max();
 
     executor_choice best;
@@ -245,7 +248,6 @@
     }
     if (best.executor == nullptr && step.requiredLabel.empty() && step.maximumPerExecutor == 0) {
         round.unplaceable = demand;
-        round.isBesideGang = false;
     }
     return best.executor;
 }
--- a/tests/scheduler/placement_test.cpp
+++ b/tests/scheduler/placement_test.cpp
@@ -41,6 +41,62 @@
     CHECK(startsOf(cluster, "small") == 2);
 }
 
+// Guards against jobs that are never started although executors are idle: a gang found no room beside its own members, and later jobs that need as much or more
+// were passed over for the rest of each round (review case 9).
+TEST_CASE("a gang that can never be placed does not hold up other jobs")
+{
+    manual_cluster cluster;
+    cluster.addExecutor("a");
+    cluster.addExecutor("b");
+    wire::step_record gang = stepOf(5, 3'500); // each executor has room for two
+    gang.gang = true;
+    wire::step_record larger = stepOf(2, 4'500);
+    wire::step_record requiringMemory = stepOf(2, 1'000);
+    requiringMemory.demand.memoryMegabytes = 9'000;
+
+    SECTION("a job that needs more of each executor")
+    {
+        cluster.submit("gang", {gang});
+        cluster.submit("other", {larger});
+        cluster.settle();
+        CHECK(startsOf(cluster, "other") == 2);
+    }
+    SECTION("a job that needs as much")
+    {
+        cluster.submit("gang", {gang});
+        cluster.submit("other", {stepOf(4, 3'500)});
+        cluster.settle();
+        CHECK(startsOf(cluster, "other") == 4);
+    }
+    SECTION("a gang that fits, behind one that does not")
+    {
+        cluster.submit("gang", {gang});
+        wire::step_record fitting = stepOf(4, 3'600);
+        fitting.gang = true;
+        cluster.submit("other", {fitting});
+        cluster.settle();
+        CHECK(startsOf(cluster, "other") == 4);
+    }
+    SECTION("a job without room for one of its tasks before")
+    {
+        cluster.submit("huge", {stepOf(1, 9'000)});
+        cluster.submit("gang", {gang});
+        cluster.submit("other", {larger});
+        cluster.settle();
+        CHECK(startsOf(cluster, "other") == 2);
+    }
+    SECTION("a job that needs more memory")
+    {
+        gang.demand.memoryMegabytes = 8'500; // each executor has room for one
+        gang.demand.cpuMillicores = 1'000;
+        cluster.submit("gang", {gang});
+        cluster.submit("other", {requiringMemory});
+        cluster.settle();
+        CHECK(startsOf(cluster, "other") == 2);
+    }
+    CHECK(startsOf(cluster, "gang") == 0);
+}
+
 // Guards against an executor that stays out of use because its memory was too small for the first demands on its service.
 TEST_CASE("a task with little memory uses an executor that has none left for the others")
 {
