--- a/src/scheduler/executor_state.h
+++ b/src/scheduler/executor_state.h
@@ -36,7 +36,8 @@
 struct executor_state
 {
     executor_description description;
-    time_point bootKnownAt{}; /**< When the leader first learned of this boot. */
+    time_point bootKnownAt{}; /**< When the leader first learned of this boot, or of a later one that no entry or list has named yet. */
+    bool hasUnnamedBoot = false; /**< The clock in a response has shown a later boot than that of the description. */
     bool isListed = false; /**< The registry has an entry for the executor. */
     bool isEvacuating = false; /**< Gets no new work, because its host is to be maintained or moved to another pool. */
     bool isHostUp = true; /**< False once the host list has shown its host with another executor, or not up. */
@@ -86,7 +87,7 @@
     {
         const bool hasStartInFlight = !pendingStarts.empty()
             || std::any_of(unansweredStarts.begin(), unansweredStarts.end(), [](const unanswered_start &order) { return order.isPending; });
-        return !hasStartInFlight && bootSeenAt > unattributedStartAt;
+        return !hasUnnamedBoot && !hasStartInFlight && bootSeenAt > unattributedStartAt;
     }
 
     /** Whether a poll that acknowledges ends may still be on its way to the executor. A start order could then overtake it. */
--- a/src/scheduler/scheduler_executors.cpp
+++ b/src/scheduler/scheduler_executors.cpp
@@ -32,7 +32,9 @@
     }
     executor.description = description;
     executor.isListed = true;
-    updateClock(executor, description.clockMilliseconds, now);
+    if (!executor.hasUnnamedBoot) {
+        updateClock(executor, description.clockMilliseconds, now);
+    }
     touch(executor);
 }
 
@@ -42,6 +44,7 @@
     const bool isFirst = executor.description.boot == 0;
     executor.description.boot = boot;
     executor.bootKnownAt = now;
+    executor.hasUnnamedBoot = false;
     if (!isFirst) {
         addDecision("new-boot", {}, executor.description.id, "boot=" + std::to_string(boot) + " runs=" + std::to_string(executor.runs.size()));
         handleRunsOfEarlierBoot(executor, now);
@@ -163,13 +166,43 @@
     have come so far since then. @param sentAt when the order was sent */
 bool scheduler::isFromKnownBoot(const executor_state &executor, std::int64_t clockMilliseconds, time_point sentAt, time_point now) const
 {
-    if (clockMilliseconds == 0 || executor.clockMilliseconds == 0 || sentAt < executor.clockReadAt) {
+    if (clockMilliseconds == 0 || executor.clockMilliseconds == 0) {
         return false;
     }
-    const std::int64_t earliest = executor.clockMilliseconds + toMilliseconds((sentAt - executor.clockReadAt) * m_settings.minimumClockRate) - clockRounding;
     const std::int64_t latest = executor.clockMilliseconds + toMilliseconds(now - executor.clockReadAt) + maximumReadingAge;
     const std::int64_t latestOfNextBoot = maximumReadingAge + toMilliseconds(now - executor.clockReadAt);
-    return clockMilliseconds >= earliest && clockMilliseconds <= latest && clockMilliseconds > latestOfNextBoot;
+    return clockMilliseconds >= earliestClock(executor, sentAt) && clockMilliseconds <= latest && clockMilliseconds > latestOfNextBoot;
+}
+
+/** Whether a response with this reading of the clock was certainly given by a later boot: its clock has started anew. A later boot whose clock is not behind
+    holds no longer a lease than the known one would. @param sentAt when the order was sent */
+bool scheduler::isFromLaterBoot(const executor_state &executor, std::int64_t clockMilliseconds, time_point sentAt) const
+{
+    return clockMilliseconds > 0 && executor.clockMilliseconds > 0 && clockMilliseconds < earliestClock(executor, sentAt);
+}
+
+/** Returns the earliest time that the clock of the known boot can show when an order is carried out that was sent at the given time. */
+std::int64_t scheduler::earliestClock(const executor_state &executor, time_point sentAt) const
+{
+    const duration sinceReading = sentAt - executor.clockReadAt;
+    const auto advance = sinceReading >= duration::zero() ? toMilliseconds(sinceReading * m_settings.minimumClockRate) : toMilliseconds(sinceReading);
+    return executor.clockMilliseconds + advance - clockRounding;
+}
+
+/** Takes note of a later boot that no registry entry or list has named yet. Its ends are numbered from the start again, and it may hold the longest lease. */
+void scheduler::noteUnnamedBoot(executor_state &executor, std::int64_t clockMilliseconds, time_point now)
+{
+    addDecision("clock-reset", {}, executor.description.id,
+                "clock=" + std::to_string(clockMilliseconds) + " last=" + std::to_string(executor.clockMilliseconds)
+                    + " age=" + std::to_string(toMilliseconds(now - executor.clockReadAt)) + " runs=" + std::to_string(executor.runs.size()));
+    executor.hasUnnamedBoot = true;
+    executor.bootKnownAt = now;
+    executor.clockMilliseconds = clockMilliseconds;
+    executor.clockReadAt = now;
+    executor.isSynchronised = false;
+    executor.nextPoll = now;
+    forgetEnds(executor);
+    assumeLongestLease(executor, now);
 }
 
 /** Returns the longest local time in which the clock of an executor advances by the lease. */
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-// A response that arrives out of order reports a clock that is behind by less than this, in milliseconds. A larger step back means a new boot.
-constexpr std::int64_t clockSlack = 3000;
-
 /** Describes a rejection and what was known of the executor, with its age. */
 std::string describeRejection(const start_order &order, const order_response &response, const executor_state &executor, time_point now)
 {
@@ -147,15 +144,8 @@
         executor.isListed = false;
         return;
     }
-    const bool isClockReset = response.clockMilliseconds > 0 && response.clockMilliseconds + clockSlack < executor.clockMilliseconds;
-    if (isClockReset) {
-        // A new boot that the registry does not show yet. Its ends are numbered from the start again.
-        addTaskDecision("clock-reset", order.task, executor.description.id,
-                        "clock=" + std::to_string(response.clockMilliseconds) + " last=" + std::to_string(executor.clockMilliseconds));
-        executor.isSynchronised = false;
-        forgetEnds(executor);
-        executor.nextPoll = now;
-        assumeLongestLease(executor, now);
+    if (isFromLaterBoot(executor, response.clockMilliseconds, sentAt)) {
+        noteUnnamedBoot(executor, response.clockMilliseconds, now);
     }
     if (!isUnsent(response.result) && response.result != order_result::unanswered) {
         executor.lastContactAt = now;
--- a/src/scheduler/scheduler_polls.cpp
+++ b/src/scheduler/scheduler_polls.cpp
@@ -114,7 +114,9 @@
 void scheduler::applyPollResponse(executor_state &executor, const poll_response &response, time_point sentAt, time_point now)
 {
     const std::string &id = executor.description.id;
-    if (response.boot != 0 && response.boot < executor.description.boot) {
+    const bool isOfFormerBoot
+        = response.boot < executor.description.boot || (response.boot == executor.description.boot && executor.hasUnnamedBoot && sentAt < executor.bootKnownAt);
+    if (response.boot != 0 && isOfFormerBoot) {
         addDecision("stale-list", {}, id, "boot=" + std::to_string(response.boot) + " known=" + std::to_string(executor.description.boot));
         executor.nextPoll = now;
         return;
@@ -154,6 +156,7 @@
     }
     if (response.boot == executor.description.boot) {
         executor.bootSeenAt = std::max(executor.bootSeenAt, sentAt);
+        executor.hasUnnamedBoot = false; // the known boot is still alive, and its clock was misread
     }
     updateClock(executor, response.clockMilliseconds, now);
     executor.endAcknowledged = std::max(executor.endAcknowledged, executor.pollAcknowledges);
--- a/tests/scheduler/acknowledgement_test.cpp
+++ b/tests/scheduler/acknowledgement_test.cpp
@@ -1,130 +1,17 @@
-#include "manual_cluster.h"
+#include "restarting_executor.h"
 
 #include <catch2/catch.hpp>
-#include <optional>
 
 using namespace parsleyglade;
 using namespace std::chrono_literals;
 
-namespace {
-
-wire::step_record shortStep()
-{
-    wire::step_record step;
-    step.taskCount = 1;
-    step.demand.cpuMillicores = 1'000;
-    step.estimateMilliseconds = 300;
-    return step;
-}
-
-finished_entry doneEnd(std::int64_t number, const std::string &job)
-{
-    return {number, {job, 0, 0, 0}, 1, run_end::done, {}};
-}
-
-/** An executor "a" whose first run has ended and is recorded, so that the next poll acknowledges the end 1. The test gives all responses. */
-struct acknowledgement_fixture
-{
-    explicit acknowledgement_fixture(duration age)
-        : bootedAt(cluster.now - age)
-    {
-        executor_description description;
-        description.id = "a";
-        description.boot = boot;
-        description.address = "a";
-        description.service = "service";
-        description.capacity = {8'000, 16'000, 0};
-        description.clockMilliseconds = clock();
-        cluster.state.updateExecutor(description, cluster.now);
-        answerPoll({}, {});
-        submit("first");
-        answerStart(order_result::done);
-        cluster.now += 300ms;
-        answerPoll({}, {doneEnd(1, "first")});
-        settle();
-        cluster.now += 400ms;
-    }
-
-    std::int64_t clock() const
-    {
-        return 1'000 + std::chrono::duration_cast<std::chrono::milliseconds>(cluster.now - bootedAt).count();
-    }
-
-    /** Starts the executor again under its id, which the registry does not show yet. */
-    void restart()
-    {
-        ++boot;
-        bootedAt = cluster.now;
-    }
-
-    void submit(const std::string &job)
-    {
-        cluster.submit(job, {shortStep()});
-        settle();
-    }
-
-    /** Decides and records, and keeps the orders that are sent. */
-    void settle()
-    {
-        for (int round = 0; round < 2; ++round) {
-            cluster.state.decide(cluster.now, cluster.wall());
-            if (const auto batch = cluster.state.takeBatch()) {
-                cluster.state.confirmBatch(batch->number, cluster.now);
-            }
-            takeStarts();
-        }
-    }
-
-    void takeStarts()
-    {
-        for (scheduler_action &action : cluster.state.takeActions()) {
-            if (const auto *start = std::get_if<start_order>(&action)) {
-                cluster.starts.push_back(*start);
-                sentAt = cluster.now;
-            }
-        }
-    }
-
-    /** Reports the response to the last start order after 3 ms. */
-    void answerStart(order_result result)
-    {
-        cluster.now += 3ms;
-        cluster.state.handleStartResponse(cluster.starts.back(), {result, result == order_result::done ? clock() : 0}, sentAt, cluster.now);
-    }
-
-    poll_response list(std::vector<running_entry> running, std::vector<finished_entry> finished) const
-    {
-        poll_response response;
-        response.result = order_result::done;
-        response.boot = boot;
-        response.clockMilliseconds = clock();
-        response.running = std::move(running);
-        response.finished = std::move(finished);
-        return response;
-    }
-
-    void answerPoll(std::vector<running_entry> running, std::vector<finished_entry> finished)
-    {
-        REQUIRE(cluster.state.takePoll("a", cluster.now));
-        cluster.state.handlePollResponse("a", list(std::move(running), std::move(finished)), cluster.now, cluster.now + 2ms);
-        cluster.now += 2ms;
-    }
-
-    manual_cluster cluster;
-    std::int64_t boot = 1;
-    time_point bootedAt{};
-    time_point sentAt{};
-};
-
-} // namespace
-
 // Guards against a task that is done twice: a poll without an answer was repeated with the number of an end that it had acknowledged. The executor had started
 // again meanwhile and forgot an end of its new boot that the leader had not seen (review case 6).
 TEST_CASE("a repeated poll acknowledges no end of a boot that is not known yet")
 {
     const std::chrono::seconds age = GENERATE(1s, 60s); // the clock of the next boot is not clearly behind that of a boot that is 1 s old
     const order_result startResult = GENERATE(order_result::done, order_result::unanswered);
-    acknowledgement_fixture fixture(age);
+    restarting_executor fixture(age);
     manual_cluster &cluster = fixture.cluster;
 
     // The start order is under way already when the poll is sent that acknowledges the end.
@@ -154,7 +41,7 @@
 // Guards against the same loss where the poll is the first one that acknowledges the end: a start order before it has reached the next boot.
 TEST_CASE("a poll acknowledges nothing while a start order may have reached a boot that is not known yet")
 {
-    acknowledgement_fixture fixture(1s);
+    restarting_executor fixture(1s);
     manual_cluster &cluster = fixture.cluster;
     fixture.submit("second");
     REQUIRE(cluster.starts.size() == 2);
@@ -187,7 +74,7 @@
 // Guards against a start order that overtakes an acknowledgement: the next boot may end the run before it receives the poll, and forget that end.
 TEST_CASE("a start order waits while the response to a poll that acknowledges an end is overdue")
 {
-    acknowledgement_fixture fixture(60s);
+    restarting_executor fixture(60s);
     manual_cluster &cluster = fixture.cluster;
     const time_point polledAt = cluster.now;
     const auto poll = cluster.state.takePoll("a", cluster.now);
@@ -219,7 +106,7 @@
 // Guards against a poll without an answer that is carried out seconds later, by the next boot: it must find no end there that the leader has not seen.
 TEST_CASE("a new boot gets no work while a poll that acknowledges an end may still be carried out")
 {
-    acknowledgement_fixture fixture(60s);
+    restarting_executor fixture(60s);
     manual_cluster &cluster = fixture.cluster;
     const time_point polledAt = cluster.now;
     REQUIRE(cluster.state.takePoll("a", cluster.now));
@@ -242,7 +129,7 @@
 // Guards against ends that are never acknowledged on a busy executor: it would list more and more of them.
 TEST_CASE("an end is acknowledged by the next poll although starts go on")
 {
-    acknowledgement_fixture fixture(60s);
+    restarting_executor fixture(60s);
     manual_cluster &cluster = fixture.cluster;
     fixture.submit("second");
     fixture.answerStart(order_result::done);
@@ -254,7 +141,7 @@
 // Guards against an acknowledgement that stays out after a start order without a response: a later list of the known boot shows that it is still alive.
 TEST_CASE("an end is acknowledged once a later list of the known boot is there")
 {
-    acknowledgement_fixture fixture(60s);
+    restarting_executor fixture(60s);
     manual_cluster &cluster = fixture.cluster;
     fixture.submit("second");
     cluster.now += 1s;
