--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -288,7 +288,7 @@
     void updateClock(executor_state &executor, std::int64_t clockMilliseconds, time_point now) const;
     bool isFromKnownBoot(const executor_state &executor, std::int64_t clockMilliseconds, time_point sentAt, time_point now) const;
     bool isFromLaterBoot(const executor_state &executor, std::int64_t clockMilliseconds, time_point sentAt) const;
-    std::int64_t earliestClock(const executor_state &executor, time_point handledAfter) const;
+    std::int64_t earliestClock(const executor_state &executor, time_point sentAt) const;
     void noteUnnamedBoot(executor_state &executor, std::int64_t clockMilliseconds, time_point now);
     std::int64_t grantLease(executor_state &executor, time_point now) const;
     duration longestLocalTime(duration lease) const;
