--- a/daemons/parsleyglade/command_line.cpp
+++ b/daemons/parsleyglade/command_line.cpp
@@ -145,6 +145,9 @@
 {
     addCommand(m_app, "status", "Show entry hosts, hosts, drains, waves and refusals", [](operator_commands &commands) { return commands.status(); });
 
+    addCommand(m_app, "teams", "Show what each team uses, may use and waits for; --admin names metrics addresses of entry hosts, of which the leader responds",
+               [](operator_commands &commands) { return commands.teams(); });
+
     CLI::App *drain = addCommand(m_app, "drain", "Take a host, rack or data centre out of service gracefully",
                                  [this](operator_commands &commands) { return commands.drain(m_drain, m_author, m_reason); });
     addDrainTarget(*drain);
--- a/idl/parsleyglade.thrift
+++ b/idl/parsleyglade.thrift
@@ -274,6 +274,8 @@
     5: i64 startAtMilliseconds     // since the Unix epoch
     6: i64 intervalMilliseconds
     7: i64 acceptedMilliseconds    // since the Unix epoch, on the accepting scheduler's clock
+    8: optional string team        // whose key submitted the job; not set where queues need no key
+    9: optional bool beyondRate    // accepted although the team had used up its rate
 }
 
 struct run_record {
@@ -338,6 +340,7 @@
     3: string job
     4: optional work_record work   // of a submission
     5: i64 configurationVersion    // that the caller resolved the queue with
+    6: optional binary keyDigest   // of the API key that came with the request
 }
 
 enum work_verdict {
@@ -348,6 +351,7 @@
     not_leading = 5                // nothing was done; ask the leader
     invalid = 6                    // the request can never be accepted
     undecided = 7                  // the leader ended; the call may have been carried out
+    not_authenticated = 8          // certainly not accepted: the queue needs a key, and the configuration has none like the given one
 }
 
 struct work_reply {
--- a/src/control/control_daemon.cpp
+++ b/src/control/control_daemon.cpp
@@ -1,5 +1,7 @@
 #include "control/control_daemon.h"
 
+#include "control/team_report.h"
+
 #include "reports/metrics_page.h"
 
 namespace parsleyglade {
@@ -77,6 +79,19 @@
     return {isCurrent ? queue_lookup::lookup_status::not_found : queue_lookup::lookup_status::unverified};
 }
 
+key_verdict control_daemon::checkKeyFor(const queue_policy &queue, const std::optional<std::string> &keyDigest) const
+{
+    if (!m_configuration.needsKey(queue)) {
+        return key_verdict::accepted;
+    }
+    key_check_state state;
+    state.isLeaderNewer = m_leadership.leaderConfigurationVersion() > m_configuration.version;
+    state.configurationAge = m_leadership.configurationAge();
+    state.configurationBound = m_settings.configurationBound;
+    state.revocationBound = m_settings.revocationBound;
+    return checkKey(keyDigest && m_configuration.keys.findTeam(*keyDigest) != nullptr, state);
+}
+
 leadership_task &control_daemon::leadership()
 {
     return m_leadership;
@@ -114,6 +129,15 @@
     return renderMetrics(metrics);
 }
 
+std::optional<std::string> control_daemon::teamsDocument() const
+{
+    const leader_task *leader = m_leadership.leader();
+    if (leader == nullptr) {
+        return std::nullopt;
+    }
+    return renderTeams(leader->state().teamStatuses(), m_configuration.version);
+}
+
 void control_daemon::retire()
 {
     m_isRetired = true;
--- a/src/control/control_daemon.h
+++ b/src/control/control_daemon.h
@@ -4,9 +4,12 @@
 #include "control/leadership_task.h"
 #include "control/queue_lookup.h"
 #include "control/work_gateway.h"
+#include "teams/key_check.h"
 #include "transport/peer_server.h"
 
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace parsleyglade {
 
@@ -33,12 +36,18 @@
     /** Finds the queue that serves a request, by the host name and path of the request. */
     queue_lookup findQueue(std::string_view host, std::string_view path) const;
 
+    /** Decides about the key of a request for a queue. @param keyDigest of the key; nothing if the request has none */
+    key_verdict checkKeyFor(const queue_policy &queue, const std::optional<std::string> &keyDigest) const;
+
     leadership_task &leadership();
     work_gateway &gateway();
 
     /** The metrics of this entry host in the text format of the metrics endpoint. */
     std::string metricsPage();
 
+    /** The states of the teams as a JSON document; nothing unless this entry host leads. @see renderTeams() */
+    std::optional<std::string> teamsDocument() const;
+
     /** Resigns leadership permanently, gives up the duty of a relay and makes isReady() false. Calls are still forwarded to the next leader. */
     void retire();
 
--- a/src/control/entry_host_settings.cpp
+++ b/src/control/entry_host_settings.cpp
@@ -45,7 +45,8 @@
     checker.checkObject(
         {"entryHost", "dataCentre", "region", "callerAddress", "readinessAddress", "peerAddress", "storeAddress", "sharedKey", "gracePeriodSeconds",
          "maximumLeaseMilliseconds", "hostOrderLeaseMilliseconds"},
-        {"hostServiceAddress", "adviceAddress", "metricsAddress", "logLevel", "processorShare", "maximumDescriptors", "configurationBoundMilliseconds"});
+        {"hostServiceAddress", "adviceAddress", "metricsAddress", "logLevel", "processorShare", "maximumDescriptors", "configurationBoundMilliseconds",
+         "revocationBoundMilliseconds"});
 
     entry_host_settings settings;
     settings.entryHost = checker.member("entryHost").identifier(maximumName);
@@ -66,6 +67,9 @@
     if (checker.has("configurationBoundMilliseconds")) {
         settings.configurationBound = secondsOf(checker.member("configurationBoundMilliseconds").number(1, maximumMilliseconds) / millisecondsPerSecond);
     }
+    if (checker.has("revocationBoundMilliseconds")) {
+        settings.revocationBound = secondsOf(checker.member("revocationBoundMilliseconds").number(1, maximumMilliseconds) / millisecondsPerSecond);
+    }
     if (checker.has("processorShare")) {
         settings.processorShare = checker.member("processorShare").number(minimumProcessorShare, maximumProcessorShare);
     }
--- a/src/control/entry_host_settings.h
+++ b/src/control/entry_host_settings.h
@@ -4,6 +4,7 @@
 #include "core/outcome.h"
 #include "runtime/logger.h"
 
+#include <optional>
 #include <string>
 
 namespace parsleyglade {
@@ -26,6 +27,7 @@
     duration maximumLease{}; /**< Longest lease that executors grant; they shorten longer ones. */
     duration hostOrderLease{}; /**< Minimum time between orders of different entry hosts for the same host. */
     duration configurationBound = control_settings{}.configurationBound; /**< Maximum time until a published configuration is in force everywhere. */
+    std::optional<duration> revocationBound; /**< @see control_settings::revocationBound */
     double processorShare = 1.0; /**< Number of cores that this entry host may use. Entry hosts with few lead only when no other can. */
     std::size_t maximumDescriptors = 4'096; /**< File descriptors that the process may have open; half of them may be connections to executors. */
     log_level logLevel = log_level::info;
--- a/src/control/leader_task.cpp
+++ b/src/control/leader_task.cpp
@@ -12,6 +12,9 @@
 // Between two reports of the leader's load in the log.
 constexpr duration loadReportInterval = std::chrono::seconds{1};
 
+// Time after which a caller whose job ID is in use by another team may retry.
+constexpr std::int64_t foreignJobRetryMilliseconds = 2'000;
+
 wire::work_reply makeReply(wire::work_verdict::type verdict)
 {
     wire::work_reply reply;
@@ -19,6 +22,33 @@
     return reply;
 }
 
+/** Makes the reply to a call that is not carried out. A job of another team must not be told from one that does not exist, and a submission with its ID not
+    from one that is refused for lack of room. */
+wire::work_reply makeDenial(const wire::work_call &call, const call_access &access)
+{
+    if (access.status == call_access::access_status::not_authenticated) {
+        wire::work_reply reply = makeReply(wire::work_verdict::not_authenticated);
+        reply.reason = "the configuration has no such key";
+        return reply;
+    }
+    if (call.kind != wire::work_call_kind::submit) {
+        return makeReply(wire::work_verdict::not_found);
+    }
+    wire::work_reply reply = makeReply(wire::work_verdict::refused);
+    reply.reason = "the job would wait too long for an executor";
+    reply.retryAfterMilliseconds = foreignJobRetryMilliseconds;
+    return reply;
+}
+
+wire::work_record makeWork(const wire::work_call &call, const std::string &team)
+{
+    wire::work_record work = call.work;
+    if (!team.empty()) {
+        work.__set_team(team);
+    }
+    return work;
+}
+
 topic_follower::settings registryFollowerSettings(const control_settings &settings)
 {
     topic_follower::settings followerSettings;
@@ -155,12 +185,17 @@
 void leader_task::forwardToScheduler(const wire::work_call &call, reply_function reply)
 {
     const leader_load::scope scope(m_load, leader_part::calls);
+    const call_access access = m_scheduler->checkAccess(call);
+    if (access.status != call_access::access_status::granted) {
+        reply(makeDenial(call, access));
+        return;
+    }
     const call_token token = m_nextToken++;
     m_pendingCalls[token] = std::move(reply);
     const wall_time now = m_loop.wallNow();
     switch (call.kind) {
     case wire::work_call_kind::submit:
-        m_scheduler->submit(token, call.job, call.work, now);
+        m_scheduler->submit(token, call.job, makeWork(call, access.team), now);
         break;
     case wire::work_call_kind::query:
         m_scheduler->query(token, call.job);
--- a/src/control/load_reporter.cpp
+++ b/src/control/load_reporter.cpp
@@ -1,5 +1,7 @@
 #include "control/load_reporter.h"
 
+#include "control/team_report.h"
+
 namespace parsleyglade {
 
 namespace {
@@ -84,6 +86,11 @@
         m_log.notice("service" + describeStatus(status) + describeRuns(find(m_state.counters(), service), find(m_lastCounters, service)),
                      {{"service", service}});
     }
+    for (const auto &[name, team] : m_state.teamStatuses()) {
+        if (team.waitingTasks > 0) {
+            m_log.notice("team" + describeTeam(team), {{"team", name}});
+        }
+    }
     m_lastCounters = m_state.counters();
 }
 
@@ -169,7 +176,11 @@
         waiting.samples.push_back({{{"service", service}}, toGauge(status.waitingTasks)});
         free.samples.push_back({{{"service", service}}, toGauge(status.freeMillicores)});
     }
-    return {time, count, inUse, runs, jobs, delay, waiting, free};
+    std::vector<metric> metrics{time, count, inUse, runs, jobs, delay, waiting, free};
+    for (metric &team : teamMetrics(m_state.teamStatuses())) {
+        metrics.push_back(std::move(team));
+    }
+    return metrics;
 }
 
 } // namespace parsleyglade
--- a/src/control/work_gateway.cpp
+++ b/src/control/work_gateway.cpp
@@ -42,6 +42,8 @@
         return "no-such-queue";
     case wire::work_verdict::invalid:
         return "invalid";
+    case wire::work_verdict::not_authenticated:
+        return "not-authenticated";
     default:
         return "other";
     }
--- a/src/entry/admin_task.cpp
+++ b/src/entry/admin_task.cpp
@@ -11,7 +11,6 @@
 
 using nlohmann::json;
 
-constexpr std::string_view bearer = "Bearer ";
 constexpr std::string_view drainsPath = "/v1/drains/";
 constexpr std::string_view wavesPath = "/v1/waves/";
 constexpr std::size_t maximumBodyBytes = std::size_t{1024} * 1024;
@@ -55,9 +54,8 @@
 
 bool admin_task::isAuthorized(const http_request &request) const
 {
-    const auto header = findHeader(request.headers, "Authorization");
-    return header && header->substr(0, bearer.size()) == bearer
-        && equalSecrets(toHex(sha256(header->substr(bearer.size()))), m_context.settings.operatorTokenSha256);
+    const auto token = findBearerToken(request.headers);
+    return token && equalSecrets(toHex(sha256(*token)), m_context.settings.operatorTokenSha256);
 }
 
 void admin_task::handle(const exchange_pointer &exchange)
--- a/src/entry/caller_task.cpp
+++ b/src/entry/caller_task.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr std::string_view jobsPath = "/v1/jobs/";
-constexpr std::string_view bearer = "Bearer ";
 constexpr std::size_t maximumRequestIdBytes = 64;
 
 /** Maximum number of requests in flight of one caller at one entry host. */
@@ -84,12 +83,8 @@
 
 const caller_settings *caller_task::authenticate(const http_request &request) const
 {
-    const auto header = findHeader(request.headers, "Authorization");
-    if (!header || header->substr(0, bearer.size()) != bearer) {
-        return nullptr;
-    }
-
-    const auto found = m_callers.find(toHex(sha256(header->substr(bearer.size()))));
+    const auto token = findBearerToken(request.headers);
+    const auto found = token ? m_callers.find(toHex(sha256(*token))) : m_callers.end();
     return found == m_callers.end() ? nullptr : &found->second;
 }
 
--- a/src/operator_client/operator_commands.cpp
+++ b/src/operator_client/operator_commands.cpp
@@ -7,6 +7,7 @@
 #include "operator_client/json_fields.h"
 #include "operator_client/rollout_progress.h"
 #include "operator_client/status_text.h"
+#include "operator_client/teams_text.h"
 #include "operator_client/text_columns.h"
 
 #include <ostream>
@@ -230,6 +231,12 @@
     return result.code == exit_code::ok ? writeResult(result.body, statusText(result.body)) : result.code;
 }
 
+exit_code operator_commands::teams()
+{
+    const request_result result = sendAndReport({"GET", "/v1/teams", {}});
+    return result.code == exit_code::ok ? writeResult(result.body, teamsText(result.body)) : result.code;
+}
+
 exit_code operator_commands::drain(const drain_target &target, const std::string &author, const std::string &reason)
 {
     const json body = {{"request", newIdentifier()}, {"kind", target.kind}, {"subject", target.subject}, {"author", author}, {"reason", reason}};
--- a/src/operator_client/operator_commands.h
+++ b/src/operator_client/operator_commands.h
@@ -44,6 +44,9 @@
     /** Shows entry hosts, hosts, drains, waves and refusals. */
     exit_code status();
 
+    /** Shows what each team uses, may use and waits for, as the leader of the deployment knows it. */
+    exit_code teams();
+
     /** Starts a drain of a host, rack or data centre. */
     exit_code drain(const drain_target &target, const std::string &author, const std::string &reason);
 
--- a/src/scheduler/executor_description.h
+++ b/src/scheduler/executor_description.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "scheduler/resources.h"
+#include "wire/resources.h"
 
 #include <cstdint>
 #include <string>
--- a/src/scheduler/executor_state.h
+++ b/src/scheduler/executor_state.h
@@ -3,7 +3,7 @@
 #include "core/time_types.h"
 #include "scheduler/attached_run.h"
 #include "scheduler/executor_description.h"
-#include "scheduler/resources.h"
+#include "wire/resources.h"
 #include "scheduler/run_key.h"
 
 #include <algorithm>
--- a/src/scheduler/host_description.h
+++ b/src/scheduler/host_description.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/time_types.h"
-#include "scheduler/resources.h"
+#include "wire/resources.h"
 
 #include <array>
 #include <cstdint>
--- a/src/scheduler/queue_configuration.cpp
+++ b/src/scheduler/queue_configuration.cpp
@@ -10,6 +10,11 @@
     return found == queues.end() ? nullptr : &*found;
 }
 
+bool queue_configuration::needsKey(const queue_policy &queue) const
+{
+    return hasTeams && !queue.isPublic;
+}
+
 const queue_policy *queue_configuration::match(std::string_view host, std::string_view path) const
 {
     const queue_policy *best = nullptr;
--- a/src/scheduler/queue_configuration.h
+++ b/src/scheduler/queue_configuration.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "teams/key_directory.h"
+#include "teams/team_policy.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -27,6 +30,7 @@
     double stretch = 1.0; /**< A job is on time if it finishes within stretch times its critical path plus targetMilliseconds. */
     std::int64_t targetMilliseconds = 0;
     std::optional<advice_policy> advice;
+    bool isPublic = false; /**< Needs no key, also where teams are configured. */
 };
 
 /** Configuration of a service and its pool of hosts. */
@@ -43,10 +47,16 @@
     std::int64_t version = 0; /**< 0 until a configuration has been received. */
     std::vector<queue_policy> queues;
     std::vector<service_policy> services;
+    bool hasTeams = false; /**< Queues need a key of a team, unless they are public. */
+    std::vector<team_policy> teams;
+    key_directory keys; /**< Of the teams. */
 
     /** Finds a queue by name; null if there is none. */
     const queue_policy *findQueue(std::string_view queueName) const;
 
+    /** Whether calls for the queue need a key. */
+    bool needsKey(const queue_policy &queue) const;
+
     /** Finds the queue for a request: same host and the longest matching path prefix. Null if there is none. */
     const queue_policy *match(std::string_view host, std::string_view path) const;
 };
--- a/src/scheduler/scheduled_job.h
+++ b/src/scheduler/scheduled_job.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include "core/time_types.h"
-#include "scheduler/resources.h"
+#include "wire/resources.h"
 #include "scheduler/run_phase.h"
 #include "scheduler/task_id.h"
 #include "scheduler/work_state.h"
+#include "teams/team_account.h"
 #include "wire/wire.h"
 
 #include <cstdint>
@@ -91,6 +92,7 @@
     std::vector<scheduled_occurrence> occurrences;
     resources smallestDemand; /**< What a run of any of its tasks reserves at least of each resource. */
     duration criticalPath{}; /**< Declared run time of the longest chain of dependent steps. */
+    team_account *team = nullptr; /**< Account that its runs are charged to. Set once the scheduler leads. */
     bool isLongRunning = false; /**< Has steps whose tasks run until the job is cancelled. */
     bool mayHaveWaitingTasks = true; /**< Something has changed since placement last found no task of the job waiting. */
     std::optional<time_point> awaitsStartSince; /**< When the job was accepted, until its first start order. Not set for a restored job. */
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -159,6 +159,7 @@
     const time_point predecessorLeaseExpiry = now + longestLocalTime(predecessorLeadership + m_settings.lease) + m_settings.leaseExpiryMargin;
 
     for (auto &[id, job] : m_jobs) {
+        job->team = &accountOf(job->work);
         if (isFinal(job->state)) {
             job->finishedAt = m_wallNow;
         } else {
@@ -228,11 +229,16 @@
 
 void scheduler::setConfiguration(queue_configuration configuration)
 {
+    const bool isFirst = m_configuration.version == 0;
     m_queues.clear();
     m_configuration = std::move(configuration);
     for (const queue_policy &queue : m_configuration.queues) {
         m_queues.try_emplace(queue.name, &queue);
     }
+    m_teams.setPolicies(m_configuration.teams, m_now);
+    if (isFirst) {
+        restoreAllowances();
+    }
     addRestoredArrivals();
     endExhaustedJobs();
 }
@@ -263,15 +269,21 @@
         refuse(token, "too many unfinished jobs", m_settings.refusalDelay);
         return;
     }
-    if (const auto retryDelay = findRetryDelay(job, work, *queue)) {
-        ++countersOf(queue->service).refusedJobs;
-        refuse(token, "the job would wait too long for an executor", *retryDelay);
+    team_account &team = accountOf(work);
+    if (refuseForTeam(token, job, work, *queue, team)) {
         return;
     }
 
+    if (!team.allowance.isAvailable(m_now)) {
+        work.__set_beyondRate(true);
+        ++team.counters.acceptedBeyondRate;
+    }
+    ++team.counters.acceptedJobs;
+    team.allowance.take(m_now);
     work.acceptedMilliseconds = now.time_since_epoch().count();
     auto added = makeJob(job, work);
     scheduled_job &accepted = *added;
+    accepted.team = &team;
     m_jobs[job] = std::move(added);
     accepted.awaitsStartSince = m_now;
     ++countersOf(queue->service).acceptedJobs;
@@ -279,7 +291,7 @@
     m_changed.push_back(&accepted);
     const double expectedWork = static_cast<double>(declaredWork(accepted.work)) * runTimeRatio(queue->name);
     m_arrivals.try_emplace(queue->service, m_settings.arrivalWindow).first->second.add(m_now, static_cast<std::int64_t>(expectedWork));
-    m_admission.addAccepted(queue->service, expectedWork);
+    m_admission.addAccepted(queue->service, {&team, m_teams.weightOf(team), accepted.work.beyondRate}, expectedWork);
     addDecision("accept", job, {}, "queue=" + accepted.work.queue + " configuration=" + std::to_string(m_configuration.version));
     respondWhenRecorded(token, accepted);
 }
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -3,6 +3,7 @@
 #include "core/time_types.h"
 #include "scheduler/admission_control.h"
 #include "scheduler/arrival_window.h"
+#include "scheduler/call_access.h"
 #include "scheduler/capacity_index.h"
 #include "scheduler/executor_state.h"
 #include "scheduler/host_order_history.h"
@@ -16,7 +17,10 @@
 #include "scheduler/service_demand.h"
 #include "scheduler/start_delay.h"
 #include "scheduler/step_availability.h"
+#include "scheduler/team_headroom.h"
+#include "scheduler/team_status.h"
 #include "scheduler/wake_queue.h"
+#include "teams/team_ledger.h"
 
 #include <limits>
 #include <map>
@@ -88,6 +92,9 @@
     void cancel(call_token token, const std::string &job, wall_time now);
     void countPending(call_token token, const std::string &queue);
 
+    /** Decides whether a call may be carried out, by the key that came with it. Every call may where the configuration has no teams. */
+    call_access checkAccess(const wire::work_call &call) const;
+
     /** Responses to orders and polls. @param sentAt when the order was sent */
     void handleStartResponse(const start_order &order, const order_response &response, time_point sentAt, time_point now);
     void handleStopResponse(const stop_order &order, const order_response &response, time_point now);
@@ -171,6 +178,9 @@
         Looks at all executors. */
     std::vector<std::string> untrackedChanges(time_point now) const;
 
+    /** Returns the state of each team, by name. Empty where the configuration has no teams. Looks at all unfinished jobs. */
+    std::map<std::string, team_status> teamStatuses() const;
+
     std::size_t jobCount() const;
     std::size_t executorCount() const;
     const scheduled_job *findJob(const std::string &id) const;
@@ -201,6 +211,7 @@
     {
         scheduled_job *job = nullptr;
         const queue_policy *queue = nullptr;
+        bool isBeyondRate = false; /**< Accepted although its team had used up its rate. */
         int lateness = 0; /**< 0: on time, 1: late, 2: too late to be useful. */
         std::int64_t dueMilliseconds = 0; /**< Wall-clock time by which the job should finish. */
     };
@@ -327,13 +338,22 @@
     step_availability availabilityOfOthers(scheduled_job &job, const task_id &taskId, time_point now) const;
     bool hasAlternativeExecutor(scheduled_job &job, const task_id &taskId, const executor_state &from, time_point now);
 
+    // teams
+    team_account &accountOf(const wire::work_record &work);
+    void restoreAllowances();
+    static std::optional<std::string> findCapFault(const wire::work_record &work, const team_account &team);
+    bool hasRoomForTeam(scheduled_job &job, const resources &demand);
+    void updateTeamCapacity();
+
     // admission
-    std::optional<duration> findRetryDelay(const std::string &job, const wire::work_record &work, const queue_policy &queue);
+    std::optional<duration> findRetryDelay(const std::string &job, const wire::work_record &work, const queue_policy &queue, team_account &team,
+                                           bool isBeyondRate);
+    bool refuseForTeam(call_token token, const std::string &job, const wire::work_record &work, const queue_policy &queue, team_account &team);
     void updateAdmission(time_point now);
     void measureDecisionInterval(time_point now);
     void measureStartDelay(time_point now);
     void addStartWaits(const std::vector<run_key> &recorded, time_point now);
-    void addWaitingWork(service_load &load, const scheduled_job &job) const;
+    void addWaitingWork(service_load &load, const scheduled_job &job, team_headroom &headroom) const;
     double runTimeRatio(const std::string &queue) const;
 
     // counters
@@ -345,7 +365,9 @@
     void place(time_point now, wall_time wallNow);
     std::vector<ranked_job> rankWaitingJobs(wall_time wallNow);
     int latenessOf(const scheduled_job &job, const queue_policy &queue, wall_time wallNow) const;
-    void addDemand(service_demand &demand, const scheduled_job &job) const;
+    void addDemand(service_demand &demand, const scheduled_job &job, team_headroom &headroom) const;
+    void placeRanked(const ranked_job &ranked, time_point now, wall_time wallNow);
+    void placeByShare(const std::vector<ranked_job> &ranking, time_point now, wall_time wallNow);
     void placeJob(scheduled_job &job, service_round &round, time_point now, wall_time wallNow);
     static bool hasWaitingTasks(const scheduled_job &job);
     void placeStep(scheduled_job &job, service_round &round, int occurrence, int step, time_point now);
@@ -361,6 +383,7 @@
     static bool hasLongRunningTask(const executor_state &executor);
     void planRun(scheduled_job &job, const task_id &taskId, executor_state &executor, int run, time_point now);
     bool isStepReady(const scheduled_job &job, int occurrence, int step, wall_time wallNow) const;
+    std::int64_t countReadyTasks(const scheduled_job &job, int occurrence, int step) const;
     void paceFillers(executor_state &executor, time_point now);
 
     scheduler_settings m_settings;
@@ -383,6 +406,7 @@
     wake_queue m_wakes;
     capacity_index m_capacity; /**< Executors that accept work. */
     std::map<std::string, service_round> m_rounds; /**< By service, during one round of placement. */
+    team_ledger m_teams;
     admission_control m_admission;
     time_point m_nextAdmissionUpdate{};
     duration m_decisionInterval{}; /**< Between two calls of decide(), averaged. */
--- a/src/scheduler/scheduler_admission.cpp
+++ b/src/scheduler/scheduler_admission.cpp
@@ -20,7 +20,8 @@
 
 /** Returns the time after which the caller of a job may retry if the job would wait too long, or nothing if it should be accepted. Timed and
     long-running jobs are always accepted, since their tasks do not have to start at once. */
-std::optional<duration> scheduler::findRetryDelay(const std::string &job, const wire::work_record &work, const queue_policy &queue)
+std::optional<duration> scheduler::findRetryDelay(const std::string &job, const wire::work_record &work, const queue_policy &queue, team_account &team,
+                                                  bool isBeyondRate)
 {
     const bool isLongRunning = std::any_of(work.steps.begin(), work.steps.end(), [](const wire::step_record &step) { return step.longRunning; });
     if (isLongRunning || work.repeatCount > 0) {
@@ -28,16 +29,23 @@
     }
     const duration path = std::chrono::duration_cast<duration>(computeCriticalPath(work) * runTimeRatio(queue.name));
     const duration objective = std::chrono::duration_cast<duration>(path * queue.stretch) + std::chrono::milliseconds(queue.targetMilliseconds);
-    const duration controlLimit = std::chrono::duration_cast<duration>((objective - path) * m_settings.admittedSlackShare);
-    const duration capacityLimit = objective * m_settings.uselessAfterObjectives - path;
+    const duration slack = std::chrono::duration_cast<duration>((objective - path) * m_settings.admittedSlackShare);
+    // A job beyond the rate of its team is accepted only into room that nobody else needs: if it can be on time behind all that waits.
+    const duration controlLimit = isBeyondRate ? duration::zero() : slack;
+    const duration capacityLimit = isBeyondRate ? slack : objective * m_settings.uselessAfterObjectives - path;
     const int starts = countStartsInSequence(work);
-    const auto retryDelay = m_admission.findRetryDelay(queue.service, capacityLimit, controlLimit, job, starts);
+    const submitting_team submitter{&team, m_teams.weightOf(team), isBeyondRate};
+    auto retryDelay = m_admission.findRetryDelay(queue.service, submitter, capacityLimit, controlLimit, job, starts);
     if (retryDelay) {
+        if (isBeyondRate) {
+            retryDelay = std::max(*retryDelay, team.allowance.reserveReturn(m_now));
+        }
         const auto toText = [](duration time) {
             return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
         };
         addDecision("refuse", job, {},
-                    "queue=" + queue.name + " expected-wait=" + toText(m_admission.expectedWait(queue.service)) + " wait-limit=" + toText(capacityLimit)
+                    "queue=" + queue.name + " team=" + team.policy.name + " beyond-rate=" + std::to_string(isBeyondRate ? 1 : 0)
+                        + " expected-wait=" + toText(m_admission.expectedWait(queue.service, submitter)) + " wait-limit=" + toText(capacityLimit)
                         + " control-delay=" + toText(m_admission.controlDelay(starts)) + " delay-limit=" + toText(controlLimit)
                         + " retry-after=" + toText(*retryDelay));
     }
@@ -98,16 +106,18 @@
     for (const auto &[service, capacity] : m_capacity.capacities()) {
         loads[service].capacityMillicores = capacity;
     }
+    team_headroom headroom;
     for (const scheduled_job *job : m_active) {
         const queue_policy *queue = job->isLongRunning || job->mayHaveWaitingTasks ? queueOf(*job) : nullptr;
         if (queue != nullptr) {
-            addWaitingWork(loads[queue->service], *job);
+            addWaitingWork(loads[queue->service], *job, headroom);
         }
     }
+    updateTeamCapacity();
     m_admission.update(std::move(loads));
 }
 
-void scheduler::addWaitingWork(service_load &load, const scheduled_job &job) const
+void scheduler::addWaitingWork(service_load &load, const scheduled_job &job, team_headroom &headroom) const
 {
     const double ratio = runTimeRatio(job.work.queue);
     for (std::size_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
@@ -116,11 +126,13 @@
             const std::int64_t perTaskMillicores = reservedBy(description).cpuMillicores;
             if (description.longRunning) {
                 load.capacityMillicores -= perTaskMillicores * description.taskCount;
-            } else if (isStepReady(job, static_cast<int>(occurrence), static_cast<int>(step), m_wallNow)) {
-                const auto &tasks = job.occurrences[occurrence].steps[step].tasks;
-                const auto waiting = std::count_if(tasks.begin(), tasks.end(), [](const scheduled_task &task) { return task.isWaiting(); });
-                load.waitingMillicoreMilliseconds += ratio * static_cast<double>(waiting * perTaskMillicores * description.estimateMilliseconds);
+                continue;
             }
+            const std::int64_t waiting = countReadyTasks(job, static_cast<int>(occurrence), static_cast<int>(step));
+            const double workPerTask = ratio * static_cast<double>(perTaskMillicores * description.estimateMilliseconds);
+            const std::int64_t startable = headroom.take(*job.team, perTaskMillicores, waiting);
+            load.add({job.team, m_teams.weightOf(*job.team), job.work.beyondRate}, workPerTask * static_cast<double>(startable),
+                     workPerTask * static_cast<double>(waiting - startable));
         }
     }
 }
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -40,18 +40,28 @@
 {
     refreshTouched(now);
     m_rounds.clear();
-    for (const ranked_job &ranked : rankWaitingJobs(wallNow)) {
-        ++m_counters.jobVisits;
-        service_round &round = m_rounds.try_emplace(ranked.queue->service, service_round{ranked.queue->service, {}}).first->second;
-        if (round.unplaceable && round.unplaceable->fitsInto(ranked.job->smallestDemand)) {
-            continue; // an earlier job of this round needed no more and found no room
+    const std::vector<ranked_job> ranking = rankWaitingJobs(wallNow);
+    if (m_configuration.hasTeams) {
+        placeByShare(ranking, now, wallNow);
+    } else {
+        for (const ranked_job &ranked : ranking) {
+            placeRanked(ranked, now, wallNow);
         }
-        placeJob(*ranked.job, round, now, wallNow);
-        ranked.job->mayHaveWaitingTasks = hasWaitingTasks(*ranked.job);
     }
     updateAdmission(now);
 }
 
+void scheduler::placeRanked(const ranked_job &ranked, time_point now, wall_time wallNow)
+{
+    ++m_counters.jobVisits;
+    service_round &round = m_rounds.try_emplace(ranked.queue->service, service_round{ranked.queue->service, {}}).first->second;
+    if (round.unplaceable && round.unplaceable->fitsInto(ranked.job->smallestDemand)) {
+        return; // an earlier job of this round needed no more and found no room
+    }
+    placeJob(*ranked.job, round, now, wallNow);
+    ranked.job->mayHaveWaitingTasks = hasWaitingTasks(*ranked.job);
+}
+
 bool scheduler::hasWaitingTasks(const scheduled_job &job)
 {
     const auto hasWaiting = [](const scheduled_step &step) {
@@ -70,10 +80,11 @@
         const double rise = std::max(arrivals.slope(now), 0.0) * toSeconds(m_settings.demandHorizon);
         result[service].inflowMillicores = static_cast<std::int64_t>((rate + std::min(rise, rate)) / millisecondsPerSecond);
     }
+    team_headroom headroom;
     for (const scheduled_job *job : m_active) {
         const queue_policy *queue = queueOf(*job);
         if (queue != nullptr && (job->isLongRunning || job->mayHaveWaitingTasks) && latenessOf(*job, *queue, m_wallNow) <= 1) {
-            addDemand(result[queue->service], *job);
+            addDemand(result[queue->service], *job, headroom);
         }
     }
     return result;
@@ -85,7 +96,7 @@
 }
 
 /** Adds the demand of the job's long-running steps, and of the waiting tasks of its other steps. */
-void scheduler::addDemand(service_demand &demand, const scheduled_job &job) const
+void scheduler::addDemand(service_demand &demand, const scheduled_job &job, team_headroom &headroom) const
 {
     for (std::size_t step = 0; step < job.work.steps.size(); ++step) {
         const wire::step_record &description = job.work.steps[step];
@@ -99,11 +110,8 @@
             continue;
         }
         for (std::size_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
-            if (isStepReady(job, static_cast<int>(occurrence), static_cast<int>(step), m_wallNow)) {
-                const auto &tasks = job.occurrences[occurrence].steps[step].tasks;
-                demand.waitingMillicores
-                    += perTaskMillicores * std::count_if(tasks.begin(), tasks.end(), [](const scheduled_task &task) { return task.isWaiting(); });
-            }
+            const std::int64_t waiting = countReadyTasks(job, static_cast<int>(occurrence), static_cast<int>(step));
+            demand.waitingMillicores += perTaskMillicores * headroom.take(*job.team, perTaskMillicores, waiting);
         }
     }
 }
@@ -129,12 +137,15 @@
             continue;
         }
         m_capacity.noteDemand(queue->service, job->smallestDemand.memoryMegabytes);
-        if (m_capacity.largestFree(queue->service) >= job->smallestDemand.cpuMillicores) {
-            ranking.push_back({job, queue, latenessOf(*job, *queue, wallNow), objectiveStart(*job) + objectiveMilliseconds(*job, *queue)});
+        if (m_capacity.largestFree(queue->service) >= job->smallestDemand.cpuMillicores && hasRoomForTeam(*job, job->smallestDemand)) {
+            ranking.push_back(
+                {job, queue, job->work.beyondRate, latenessOf(*job, *queue, wallNow), objectiveStart(*job) + objectiveMilliseconds(*job, *queue)});
         }
     }
-    const auto keyOf = [](const ranked_job &ranked) {
-        return std::tuple(ranked.queue->priority, !ranked.job->isLongRunning, ranked.lateness, ranked.dueMilliseconds);
+    // Where teams share the executors, steps of a begun job go before new jobs of the same team: what it has done so far would otherwise be of no use yet.
+    const auto keyOf = [hasTeams = m_configuration.hasTeams](const ranked_job &ranked) {
+        return std::tuple(ranked.queue->priority, !ranked.job->isLongRunning, ranked.isBeyondRate, ranked.lateness, hasTeams && !ranked.job->hasBegun,
+                          ranked.dueMilliseconds);
     };
     std::sort(ranking.begin(), ranking.end(), [&](const ranked_job &left, const ranked_job &right) {
         return keyOf(left) != keyOf(right) ? keyOf(left) < keyOf(right) : left.job->id < right.job->id;
@@ -168,6 +179,16 @@
     return std::all_of(after.begin(), after.end(), [&](int before) { return current.steps[static_cast<std::size_t>(before)].isDone(); });
 }
 
+/** Returns how many tasks of a step could start if there was capacity. */
+std::int64_t scheduler::countReadyTasks(const scheduled_job &job, int occurrence, int step) const
+{
+    if (!isStepReady(job, occurrence, step, m_wallNow)) {
+        return 0;
+    }
+    const auto &tasks = job.occurrences[static_cast<std::size_t>(occurrence)].steps[static_cast<std::size_t>(step)].tasks;
+    return std::count_if(tasks.begin(), tasks.end(), [](const scheduled_task &task) { return task.isWaiting(); });
+}
+
 void scheduler::placeStep(scheduled_job &job, service_round &round, int occurrence, int step, time_point now)
 {
     auto &tasks = job.occurrences[static_cast<std::size_t>(occurrence)].steps[static_cast<std::size_t>(step)].tasks;
@@ -176,10 +197,13 @@
         if (!task.isWaiting() || now < task.notBefore) {
             continue;
         }
+        if (!hasRoomForTeam(job, usedBy(job.work.steps[static_cast<std::size_t>(step)]))) {
+            return; // the other tasks of the step need the same resources
+        }
         const task_id taskId{job.id, occurrence, step, static_cast<int>(index)};
         executor_state *executor = chooseExecutor(job, round, taskId);
         if (executor == nullptr) {
-            return; // the other tasks of the step need the same resources
+            return;
         }
         planRun(job, taskId, *executor, task.lastRun + 1, now);
     }
@@ -196,6 +220,13 @@
         lastRun = std::max(lastRun, task.lastRun);
     }
 
+    resources whole;
+    for (std::size_t member = 0; member < tasks.size(); ++member) {
+        whole += usedBy(job.work.steps[static_cast<std::size_t>(step)]);
+    }
+    if (!hasRoomForTeam(job, whole)) {
+        return;
+    }
     const resources demand = reservedBy(job.work.steps[static_cast<std::size_t>(step)]);
     const std::optional<resources> unplaceableBefore = round.unplaceable;
     std::vector<executor_state *> chosen;
--- a/src/scheduler/scheduler_runs.cpp
+++ b/src/scheduler/scheduler_runs.cpp
@@ -53,7 +53,9 @@
 
 void scheduler::attachRun(executor_state &executor, scheduled_job &job, const run_key &key)
 {
-    executor.used += reservedBy(job.work.steps[static_cast<std::size_t>(key.task.step)]);
+    const wire::step_record &step = job.work.steps[static_cast<std::size_t>(key.task.step)];
+    executor.used += reservedBy(step);
+    job.team->used += usedBy(step);
     executor.runs.push_back({key, &job, false});
     touch(executor);
 }
@@ -72,7 +74,7 @@
         return;
     }
     scheduled_task &task = job.task(key.task);
-    const resources reserved = reservedBy(job.work.steps[static_cast<std::size_t>(key.task.step)]);
+    const wire::step_record &step = job.work.steps[static_cast<std::size_t>(key.task.step)];
     const auto found = m_executors.find(run->executor);
     task.lastExecutor = run->executor;
     std::erase_if(task.runs, [&](const scheduled_run &candidate) { return candidate.run == key.run; });
@@ -82,7 +84,8 @@
     attached_run *attached = found == m_executors.end() ? nullptr : findAttached(found->second, key.task, key.run);
     if (attached != nullptr) {
         found->second.runs.erase(found->second.runs.begin() + (attached - found->second.runs.data()));
-        found->second.used -= reserved;
+        found->second.used -= reservedBy(step);
+        job.team->used -= usedBy(step);
         touch(found->second);
     }
 }
--- a/src/scheduler/scheduler_status.cpp
+++ b/src/scheduler/scheduler_status.cpp
@@ -50,12 +50,9 @@
         service_status &status = statuses[queue->service];
         for (std::size_t occurrence = 0; occurrence < job->occurrences.size(); ++occurrence) {
             for (std::size_t step = 0; step < job->work.steps.size(); ++step) {
-                if (isStepReady(*job, static_cast<int>(occurrence), static_cast<int>(step), m_wallNow)) {
-                    const auto &tasks = job->occurrences[occurrence].steps[step].tasks;
-                    const auto waiting = std::count_if(tasks.begin(), tasks.end(), [](const scheduled_task &task) { return task.isWaiting(); });
-                    status.waitingTasks += waiting;
-                    status.waitingMillicores += waiting * reservedBy(job->work.steps[step]).cpuMillicores;
-                }
+                const std::int64_t waiting = countReadyTasks(*job, static_cast<int>(occurrence), static_cast<int>(step));
+                status.waitingTasks += waiting;
+                status.waitingMillicores += waiting * reservedBy(job->work.steps[step]).cpuMillicores;
             }
         }
     }
--- a/src/scheduler/resources.h
+++ b/src/wire/resources.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "wire/wire.h"
+#include "wire/codec.h"
 
 #include <cstdint>
 
@@ -43,6 +43,12 @@
     friend bool operator==(const resources &, const resources &) = default;
 };
 
+/** Resources that one task of the step uses, also if it fills idle capacity. */
+inline resources usedBy(const wire::step_record &step)
+{
+    return {step.demand.cpuMillicores, step.demand.memoryMegabytes, step.demand.accelerators};
+}
+
 /** Resources that one task of the step reserves. A step that fills idle capacity reserves no processor share. */
 inline resources reservedBy(const wire::step_record &step)
 {
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -1,5 +1,6 @@
 #pragma once
 
-/** Umbrella header of the wire module: generated messages and their codec. */
+/** Umbrella header of the wire module: generated messages, their codec, and amounts of resources. */
 
 #include "wire/codec.h"
+#include "wire/resources.h"
--- a/tests/control/control_fakes.h
+++ b/tests/control/control_fakes.h
@@ -3,6 +3,8 @@
 #include "control/control.h"
 #include "memory_store.h"
 
+#include <sstream>
+
 namespace parsleyglade {
 
 /** Executors that never respond. */
@@ -39,7 +41,8 @@
     }
 };
 
-/** Decodes a record that holds a version number into a configuration of that version with one queue. */
+/** Decodes a record with a version number, and pairs of a team and its key as in "2 red=secret", into a configuration of that version with one queue and
+    these teams. */
 class version_decoder final : public record_decoder
 {
 public:
@@ -59,6 +62,17 @@
         configuration.version = std::stoll(value);
         configuration.queues.emplace_back();
         configuration.queues.back().name = "queue";
+        std::istringstream words(value);
+        std::string word;
+        for (words >> word; words >> word;) {
+            const std::size_t separator = word.find('=');
+            team_policy team;
+            team.name = word.substr(0, separator);
+            team.keyDigests.push_back(digestOfKey(word.substr(separator + 1)));
+            configuration.teams.push_back(team);
+        }
+        configuration.hasTeams = !configuration.teams.empty();
+        configuration.keys = key_directory(configuration.teams);
         return configuration;
     }
 
--- a/tests/scheduler/manual_cluster.h
+++ b/tests/scheduler/manual_cluster.h
@@ -12,9 +12,9 @@
 class manual_cluster
 {
 public:
-    manual_cluster()
+    /** @param teams of the configuration; none for a deployment without teams */
+    explicit manual_cluster(std::vector<team_policy> teams = {})
     {
-        queue_configuration configuration;
         configuration.version = 1;
         queue_policy queue;
         queue.name = "queue";
@@ -25,8 +25,18 @@
         configuration.queues.push_back(queue);
         configuration.services.push_back({"service", false, false});
         configuration.services.push_back({"spare", false, true});
-        state.setConfiguration(configuration);
         state.lead(1, now, wall());
+        setTeams(std::move(teams));
+    }
+
+    /** Puts a configuration with these teams in force. */
+    void setTeams(std::vector<team_policy> teams)
+    {
+        configuration.hasTeams = !teams.empty();
+        configuration.teams = std::move(teams);
+        configuration.keys = key_directory(configuration.teams);
+        state.setConfiguration(configuration);
+        ++configuration.version;
     }
 
     void addExecutor(const std::string &id, resources capacity = {8'000, 16'000, 0})
@@ -65,11 +75,14 @@
         }
     }
 
-    void submit(const std::string &job, std::vector<wire::step_record> steps)
+    void submit(const std::string &job, std::vector<wire::step_record> steps, const std::string &team = {})
     {
         wire::work_record work;
         work.queue = "queue";
         work.steps = std::move(steps);
+        if (!team.empty()) {
+            work.__set_team(team);
+        }
         state.submit(1, job, work, wall());
     }
 
@@ -88,6 +101,8 @@
                     state.handleStartResponse(*start, {startResult, startResult == order_result::done ? clock() : 0}, now, now);
                 } else if (const auto *stop = std::get_if<stop_order>(&action)) {
                     stops.push_back(*stop);
+                } else if (const auto *response = std::get_if<call_response>(&action)) {
+                    replies.push_back(response->reply);
                 }
             }
         }
@@ -104,10 +119,12 @@
     }
 
     time_point now{std::chrono::seconds{100}};
+    queue_configuration configuration;
     scheduler state{scheduler_settings{}};
     order_result startResult = order_result::done;
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
+    std::vector<wire::work_reply> replies; /**< Of settle(). */
 };
 
 /** Makes a long-running step with at most one task on an executor, of which at most one may be unavailable. */
--- a/tests/scheduler/overload_test.cpp
+++ b/tests/scheduler/overload_test.cpp
@@ -259,11 +259,11 @@
     admission_control admission;
     admission.update({{"service", {8'000.0 * 4'000.0, 8'000}}});
     CHECK(admission.expectedWait("service") == 4s);
-    CHECK_FALSE(admission.findRetryDelay("service", 4s, 0s, "caller"));
-    CHECK_FALSE(admission.findRetryDelay("other", 0s, 0s, "caller"));
+    CHECK_FALSE(admission.findRetryDelay("service", {}, 4s, 0s, "caller"));
+    CHECK_FALSE(admission.findRetryDelay("other", {}, 0s, 0s, "caller"));
     std::set<duration> delays;
     for (int caller = 0; caller < 50; ++caller) {
-        const auto delay = admission.findRetryDelay("service", 1s, 0s, "caller-" + std::to_string(caller));
+        const auto delay = admission.findRetryDelay("service", {}, 1s, 0s, "caller-" + std::to_string(caller));
         REQUIRE(delay);
         CHECK(*delay >= 3s);
         CHECK(*delay < 6s);
--- a/tests/scheduler/scheduling_simulation.cpp
+++ b/tests/scheduler/scheduling_simulation.cpp
@@ -43,10 +43,31 @@
 scheduling_simulation::scheduling_simulation(std::uint64_t seed, simulated_faults faults)
     : m_random(seed)
     , m_faults(faults)
+    , m_configuration(simulationConfiguration())
     , m_now(std::chrono::seconds{100})
 {
 }
 
+void scheduling_simulation::setTeams(std::vector<team_policy> teams)
+{
+    m_configuration.hasTeams = true;
+    m_configuration.teams = std::move(teams);
+    m_configuration.keys = key_directory(m_configuration.teams);
+}
+
+void scheduling_simulation::checkCap(const std::string &team, const resources &used)
+{
+    const auto policy
+        = std::find_if(m_configuration.teams.begin(), m_configuration.teams.end(), [&](const team_policy &candidate) { return candidate.name == team; });
+    team_account limit;
+    if (policy != m_configuration.teams.end()) {
+        limit.policy = *policy;
+    }
+    if (!limit.hasRoomFor(used)) {
+        addViolation("team " + team + " exceeds its cap");
+    }
+}
+
 bool scheduling_simulation::isDrawn(double probability)
 {
     return m_now < m_faultsEnd && std::uniform_real_distribution<double>(0.0, 1.0)(m_random) < probability;
@@ -208,7 +229,7 @@
     m_leader->state->lead(m_leader->fence, m_now, wall());
     const auto delay = m_faults.configurationDelay.count();
     after(duration(delay == 0 ? 0 : static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(delay))),
-          [leader = m_leader] { leader->state->setConfiguration(simulationConfiguration()); });
+          [this, leader = m_leader] { leader->state->setConfiguration(m_configuration); });
 
     // Callers of the previous leader retry.
     std::vector<open_call> lost;
@@ -380,10 +401,12 @@
 void scheduling_simulation::checkInvariants()
 {
     std::map<task_id, int> alive;
+    std::map<std::string, resources> usedByTeams;
     for (const auto &[id, executor] : m_executors) {
         resources used;
         for (const model_run &run : executor->running()) {
             used += run.demand;
+            usedByTeams[m_works.at(run.task.job).team] += run.demand;
             if (++alive[run.task] > 1) {
                 addViolation("two runs of " + toText(run.task) + " at the same time");
             }
@@ -412,6 +435,9 @@
             }
         }
     }
+    for (const auto &[team, used] : usedByTeams) {
+        checkCap(team, used);
+    }
 }
 
 const std::vector<std::string> &scheduling_simulation::violations() const
--- a/tests/scheduler/scheduling_simulation.h
+++ b/tests/scheduler/scheduling_simulation.h
@@ -47,6 +47,9 @@
 
     void addExecutor(const std::string &id, resources capacity);
 
+    /** Puts a configuration with these teams in force with the next leader. Their caps are checked as an invariant. */
+    void setTeams(std::vector<team_policy> teams);
+
     /** Submits a job after the delay, and retries until a leader confirms it. */
     void submit(const std::string &id, const wire::work_record &work, duration delay = duration::zero());
     void cancel(const std::string &id);
@@ -112,8 +115,11 @@
     wall_time wall() const;
     void addViolation(const std::string &text);
 
+    void checkCap(const std::string &team, const resources &used);
+
     std::mt19937_64 m_random;
     simulated_faults m_faults;
+    queue_configuration m_configuration;
     time_point m_now{};
     time_point m_faultsEnd{};
     time_point m_nextCrash{};
--- a/tools/measure-scheduler/main.cpp
+++ b/tools/measure-scheduler/main.cpp
@@ -47,6 +47,10 @@
                 static_cast<unsigned long long>(report.acceptedJobs), static_cast<unsigned long long>(report.refusedJobs),
                 static_cast<unsigned long long>(report.completedJobs), static_cast<unsigned long long>(report.lateJobs),
                 static_cast<unsigned long long>(report.unfinishedJobs));
+    if (settings.teams > 0) {
+        std::printf("  other teams than the first: first start after p50 %.0f ms p95 %.0f ms, %llu refused\n", percentileMilliseconds(report.quietStartDelays, 0.5),
+                    percentileMilliseconds(report.quietStartDelays, 0.95), static_cast<unsigned long long>(report.refusedQuietJobs));
+    }
     printCost("submit", report.submit, report);
     printCost("decide", report.decide, report);
     printCost("batch", report.batch, report);
@@ -68,6 +72,9 @@
     app.add_option("--executors", sizes, "numbers of executors")->check(CLI::PositiveNumber);
     app.add_option("--seconds", seconds, "simulated time of each measurement")->check(CLI::PositiveNumber);
     app.add_option("--round-share", settings.roundShare, "the leader gets one of so many rounds of decisions")->check(CLI::PositiveNumber);
+    app.add_option("--teams", settings.teams, "number of teams that submit the jobs; 0 for none")->check(CLI::NonNegativeNumber);
+    app.add_option("--hot-factor", settings.hotFactor, "multiplies the jobs of the first team")->check(CLI::PositiveNumber);
+    app.add_option("--load-factor", settings.loadFactor, "multiplies the rate of all jobs")->check(CLI::PositiveNumber);
     app.add_option("--seed", settings.seed, "seed of the run times and demands");
     CLI11_PARSE(app, argc, argv);
     settings.length = std::chrono::seconds{seconds};
--- a/tools/measure-scheduler/scheduler_run.cpp
+++ b/tools/measure-scheduler/scheduler_run.cpp
@@ -11,6 +11,7 @@
 constexpr int executorsPerLongRunningTask = 1;
 constexpr int tasksPerLongRunningJob = 24;
 constexpr int tasksPerStep = 8;
+constexpr const char *teamPrefix = "team-";
 constexpr double burstFactor = 4.0;
 constexpr double idleFactor = 0.05;
 constexpr duration burstLength = std::chrono::milliseconds{4500};
@@ -79,6 +80,12 @@
     return prefix + std::to_string(number);
 }
 
+/** Whether a team is another than the first, which may submit more than usual. */
+bool isQuiet(const std::string &team)
+{
+    return !team.empty() && team != nameOf(teamPrefix, 0);
+}
+
 } // namespace
 
 scheduler_run::scheduler_run(run_settings settings)
@@ -150,6 +157,8 @@
         queue.maximumAttempts = 3;
         configuration.queues.push_back(queue);
     }
+    configuration.hasTeams = m_settings.teams > 0;
+    configuration.teams = makeTeams();
     m_scheduler.setConfiguration(configuration);
     m_scheduler.lead(1, m_start, wall(m_start));
     for (int number = 0; number < m_settings.executors; ++number) {
@@ -171,13 +180,46 @@
 
 double scheduler_run::arrivalRate(int queue, time_point now) const
 {
-    const double mean = jobsPerExecutorSecond * m_settings.executors / busyQueues;
+    const double mean = jobsPerExecutorSecond * m_settings.loadFactor * (1.0 + extraShare()) * m_settings.executors / busyQueues;
     if (!m_settings.bursts) {
         return mean;
     }
     return mean * ((now - m_start) / burstLength % busyQueues == queue ? burstFactor : idleFactor);
 }
 
+/** Jobs that the first team submits beyond its usual ones, as a part of all usual jobs. */
+double scheduler_run::extraShare() const
+{
+    return m_settings.teams == 0 ? 0.0 : m_settings.hotShare * (m_settings.hotFactor - 1.0);
+}
+
+std::vector<team_policy> scheduler_run::makeTeams() const
+{
+    std::vector<team_policy> teams;
+    const double usualJobs = jobsPerExecutorSecond * m_settings.loadFactor * m_settings.executors;
+    for (int number = 0; number < m_settings.teams; ++number) {
+        team_policy &team = teams.emplace_back();
+        team.name = nameOf(teamPrefix, number);
+        const double share = number == 0 ? m_settings.hotShare : (1.0 - m_settings.hotShare) / (m_settings.teams - 1);
+        team.weight = m_settings.rateHeadroom * usualJobs * share;
+        team.cap.cpuMillicores = number == 0 ? m_settings.hotCapMillicores : 0;
+    }
+    return teams;
+}
+
+/** Draws the team of the next job; empty without teams. */
+std::string scheduler_run::drawTeam()
+{
+    if (m_settings.teams == 0) {
+        return {};
+    }
+    const double drawn = std::uniform_real_distribution<double>(0.0, 1.0 + extraShare())(m_random);
+    if (drawn < m_settings.hotShare + extraShare() || m_settings.teams == 1) {
+        return nameOf(teamPrefix, 0);
+    }
+    return nameOf(teamPrefix, std::uniform_int_distribution<int>(1, m_settings.teams - 1)(m_random));
+}
+
 void scheduler_run::submitJobs(time_point now)
 {
     for (int queue = 0; queue < busyQueues; ++queue) {
@@ -193,6 +235,9 @@
 {
     wire::work_record work;
     work.queue = queue;
+    if (const std::string team = isLongRunning ? std::string() : drawTeam(); !team.empty()) {
+        work.__set_team(team);
+    }
     wire::step_record step;
     step.taskCount = isLongRunning ? tasksPerLongRunningJob : tasksPerStep;
     step.demand.cpuMillicores = std::uniform_int_distribution<std::int64_t>(1'500, 3'000)(m_random);
@@ -209,7 +254,7 @@
     const std::string job = jobName(m_jobNumber++);
     if (!isLongRunning) {
         m_waitingJobs[job] = now;
-        m_calls[m_jobNumber] = job;
+        m_calls[m_jobNumber] = {job, work.team};
     }
     const cost_scope cost(m_report.submit, m_settings);
     m_scheduler.submit(m_jobNumber, job, work, wall(now));
@@ -258,6 +303,9 @@
     const auto waiting = m_waitingJobs.find(order.task.job);
     if (waiting != m_waitingJobs.end()) {
         m_report.startDelays.push_back(now - waiting->second);
+        if (isQuiet(m_scheduler.findJob(order.task.job)->work.team)) {
+            m_report.quietStartDelays.push_back(now - waiting->second);
+        }
         m_waitingJobs.erase(waiting);
     }
     const bool isLongRunning = m_scheduler.findJob(order.task.job)->work.steps.front().longRunning;
@@ -276,10 +324,11 @@
     }
     if (response.reply.verdict == wire::work_verdict::done) {
         ++m_report.acceptedJobs;
-        m_unfinishedJobs[call.mapped()] = now;
+        m_unfinishedJobs[call.mapped().job] = now;
     } else {
         ++m_report.refusedJobs;
-        m_waitingJobs.erase(call.mapped());
+        m_report.refusedQuietJobs += isQuiet(call.mapped().team) ? 1 : 0;
+        m_waitingJobs.erase(call.mapped().job);
     }
 }
 
--- a/tools/measure-scheduler/scheduler_run.h
+++ b/tools/measure-scheduler/scheduler_run.h
@@ -18,6 +18,12 @@
     duration drain{}; /**< Time after it without arrivals, in which accepted jobs can finish. */
     int roundShare = 1; /**< The leader gets one of so many rounds. */
     std::uint64_t seed = 1;
+    double loadFactor = 1.0; /**< Multiplies the rate of all jobs. */
+    int teams = 0; /**< Teams that submit the jobs; 0 for a deployment without teams. */
+    double hotShare = 0.2; /**< Part of the usual jobs that the first team submits; the others share the rest equally. */
+    double hotFactor = 1.0; /**< Multiplies the jobs of the first team. */
+    double rateHeadroom = 1.9; /**< Rate of a team in the configuration, as a multiple of its usual jobs a second. */
+    std::int64_t hotCapMillicores = 0; /**< Cap of the first team; 0 for none. */
     std::uint64_t (*allocationCount)() = nullptr; /**< Allocations of the program so far; not counted if null. */
 };
 
@@ -41,6 +47,8 @@
     std::uint64_t polls = 0;
     std::uint64_t batches = 0;
     std::uint64_t journalBytes = 0;
+    std::vector<duration> quietStartDelays; /**< Of the jobs of all teams but the first. */
+    std::uint64_t refusedQuietJobs = 0; /**< Of the refused jobs, those of all teams but the first. */
     std::vector<duration> startDelays; /**< From acceptance to the first start order of each job. */
     scheduler_counters afterSetUp; /**< Of the scheduler, once the long-running tasks have been placed. */
     scheduler_counters counters; /**< Of the scheduler, at the end. */
@@ -59,6 +67,9 @@
     void setUp();
     void submitJobs(time_point now);
     void submitJob(const std::string &queue, bool isLongRunning, time_point now);
+    std::vector<team_policy> makeTeams() const;
+    std::string drawTeam();
+    double extraShare() const;
     void advance(time_point now);
     void carryOutActions(time_point now);
     void start(const start_order &order, time_point now);
@@ -76,7 +87,12 @@
     std::mt19937_64 m_random;
     time_point m_start{std::chrono::seconds{100}};
     std::vector<double> m_dueJobs; /**< Fraction of a job that is due, by queue. */
-    std::unordered_map<call_token, std::string> m_calls; /**< Submitted jobs that were not responded to yet. */
+    struct submitted_job
+    {
+        std::string job;
+        std::string team;
+    };
+    std::unordered_map<call_token, submitted_job> m_calls; /**< Submitted jobs that were not responded to yet. */
     std::unordered_map<std::string, time_point> m_unfinishedJobs; /**< Accepted jobs, with the time of their acceptance. */
     std::unordered_map<std::string, time_point> m_waitingJobs; /**< Accepted jobs without a start order, with the time of acceptance. */
     struct start_delivery
