--- a/src/control/control_settings.h
+++ b/src/control/control_settings.h
@@ -31,8 +31,8 @@
     duration leaderSuspicionTimeout = std::chrono::milliseconds{900}; /**< Time without contact to the leader after which its journal is watched. */
     duration journalSilenceTimeout = std::chrono::milliseconds{800}; /**< A journal without a new record for this long has no leader. */
     duration configurationBound = std::chrono::milliseconds{2000}; /**< Maximum time until a published configuration is in force on every entry host. */
-    std::optional<duration> revocationBound; /**< Maximum time until a withdrawn key is out of use on every entry host, whatever fails: one that has not known its
-                                                configuration to be the newest for this long serves no queue that needs a key. Not set: it serves on. */
+    std::optional<duration> revocationBound; /**< Maximum time until a withdrawn key is out of use on every entry host, whatever fails: one that has not known
+                                                its configuration to be the newest for this long serves no queue that needs a key. Not set: it serves on. */
     duration configurationPullDelay = std::chrono::milliseconds{1000}; /**< Time for the store to deliver a configuration before it is pulled from a peer. */
     duration configurationPullTimeout = std::chrono::seconds{5}; /**< Time after which an unanswered request for the configuration is repeated. */
     duration readLease = std::chrono::milliseconds{800}; /**< Time since the last confirmed append during which a leader may reply from its own
--- a/src/control/entry_host_settings.cpp
+++ b/src/control/entry_host_settings.cpp
@@ -14,6 +14,7 @@
 constexpr double minimumProcessorShare = 0.001;
 constexpr double maximumProcessorShare = 1'024;
 constexpr double millisecondsPerSecond = 1'000;
+constexpr double maximumRemoteRunFactor = 100;
 constexpr double minimumDescriptors = 256;
 constexpr double maximumDescriptors = 1'000'000;
 
@@ -42,11 +43,10 @@
 
     std::vector<failure> failures;
     json_checker checker(*document, failures);
-    checker.checkObject(
-        {"entryHost", "dataCentre", "region", "callerAddress", "readinessAddress", "peerAddress", "storeAddress", "sharedKey", "gracePeriodSeconds",
-         "maximumLeaseMilliseconds", "hostOrderLeaseMilliseconds"},
-        {"hostServiceAddress", "adviceAddress", "metricsAddress", "logLevel", "processorShare", "maximumDescriptors", "configurationBoundMilliseconds",
-         "revocationBoundMilliseconds"});
+    checker.checkObject({"entryHost", "dataCentre", "region", "callerAddress", "readinessAddress", "peerAddress", "storeAddress", "sharedKey",
+                         "gracePeriodSeconds", "maximumLeaseMilliseconds", "hostOrderLeaseMilliseconds"},
+                        {"hostServiceAddress", "adviceAddress", "metricsAddress", "logLevel", "processorShare", "maximumDescriptors",
+                         "configurationBoundMilliseconds", "revocationBoundMilliseconds", "remoteRunFactor"});
 
     entry_host_settings settings;
     settings.entryHost = checker.member("entryHost").identifier(maximumName);
@@ -70,6 +70,9 @@
     if (checker.has("revocationBoundMilliseconds")) {
         settings.revocationBound = secondsOf(checker.member("revocationBoundMilliseconds").number(1, maximumMilliseconds) / millisecondsPerSecond);
     }
+    if (checker.has("remoteRunFactor")) {
+        settings.remoteRunFactor = checker.member("remoteRunFactor").number(1, maximumRemoteRunFactor);
+    }
     if (checker.has("processorShare")) {
         settings.processorShare = checker.member("processorShare").number(minimumProcessorShare, maximumProcessorShare);
     }
--- a/src/control/entry_host_settings.h
+++ b/src/control/entry_host_settings.h
@@ -28,6 +28,7 @@
     duration hostOrderLease{}; /**< Minimum time between orders of different entry hosts for the same host. */
     duration configurationBound = control_settings{}.configurationBound; /**< Maximum time until a published configuration is in force everywhere. */
     std::optional<duration> revocationBound; /**< @see control_settings::revocationBound */
+    double remoteRunFactor = 1.0; /**< @see scheduler_settings::remoteRunFactor */
     double processorShare = 1.0; /**< Number of cores that this entry host may use. Entry hosts with few lead only when no other can. */
     std::size_t maximumDescriptors = 4'096; /**< File descriptors that the process may have open; half of them may be connections to executors. */
     log_level logLevel = log_level::info;
--- a/src/control/load_reporter.cpp
+++ b/src/control/load_reporter.cpp
@@ -33,6 +33,13 @@
     if (current.lostRuns > last.lostRuns) {
         text += " lost=" + std::to_string(current.lostRuns - last.lostRuns);
     }
+    const std::uint64_t nearStarts = current.nearStarts - last.nearStarts;
+    const std::uint64_t remoteStarts = current.remoteStarts - last.remoteStarts;
+    if (nearStarts + remoteStarts > 0) {
+        text += " near-starts=" + std::to_string(nearStarts) + " remote-starts=" + std::to_string(remoteStarts)
+            + " near-waits=" + std::to_string(current.nearWaits - last.nearWaits)
+            + " near-wait-ms=" + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(current.nearWaitTime - last.nearWaitTime).count());
+    }
     const auto startedJobs = static_cast<std::int64_t>(current.startedJobs - last.startedJobs);
     if (startedJobs > 0) {
         const auto mean = std::chrono::duration_cast<std::chrono::milliseconds>((current.startDelay - last.startDelay) / startedJobs);
@@ -157,6 +164,9 @@
 
     metric runs{"parsleyglade_service_runs_total", "Start orders, ends and losses of runs since the leader took over, by service.", {}};
     metric jobs{"parsleyglade_service_jobs_total", "Jobs accepted, refused and started since the leader took over, by service.", {}};
+    metric places{
+        "parsleyglade_service_near_starts_total", "Starts of tasks that run faster near their data or their group, by whether they were placed there.", {}};
+    metric nearWaits{"parsleyglade_service_near_wait_seconds_total", "Time that tasks waited for a near place although there was room elsewhere.", {}};
     metric delay{"parsleyglade_service_start_delay_seconds_total", "Time from acceptance to the first start order, summed over the started jobs.", {}};
     for (const auto &[service, values] : counters.services) {
         runs.samples.push_back({{{"service", service}, {"event", "start"}}, toCounter(values.starts)});
@@ -165,6 +175,9 @@
         for (std::size_t end = 0; end < runEndNames.size(); ++end) {
             runs.samples.push_back({{{"service", service}, {"event", std::string(runEndNames.at(end))}}, toCounter(endsOf(values, static_cast<run_end>(end)))});
         }
+        places.samples.push_back({{{"service", service}, {"place", "near"}}, toCounter(values.nearStarts)});
+        places.samples.push_back({{{"service", service}, {"place", "elsewhere"}}, toCounter(values.remoteStarts)});
+        nearWaits.samples.push_back({{{"service", service}}, counter_value{toSeconds(values.nearWaitTime)}});
         jobs.samples.push_back({{{"service", service}, {"event", "accepted"}}, toCounter(values.acceptedJobs)});
         jobs.samples.push_back({{{"service", service}, {"event", "refused"}}, toCounter(values.refusedJobs)});
         jobs.samples.push_back({{{"service", service}, {"event", "started"}}, toCounter(values.startedJobs)});
@@ -176,7 +189,7 @@
         waiting.samples.push_back({{{"service", service}}, toGauge(status.waitingTasks)});
         free.samples.push_back({{{"service", service}}, toGauge(status.freeMillicores)});
     }
-    std::vector<metric> metrics{time, count, inUse, runs, jobs, delay, waiting, free};
+    std::vector<metric> metrics{time, count, inUse, runs, jobs, places, nearWaits, delay, waiting, free};
     for (metric &team : teamMetrics(m_state.teamStatuses())) {
         metrics.push_back(std::move(team));
     }
--- a/src/control/load_reporter.h
+++ b/src/control/load_reporter.h
@@ -18,7 +18,8 @@
     /** @param state, load must outlive the reporter */
     load_reporter(const scheduler &state, const leader_load &load);
 
-    /** Writes one line for the leader, one for each service, and one for each team with waiting tasks. Looks at all executors and unfinished jobs, so call it rarely. */
+    /** Writes one line for the leader, one for each service, and one for each team with waiting tasks. Looks at all executors and unfinished jobs, so call it
+     * rarely. */
     void writeLines(time_point now);
 
     /** Counters since the takeover, and gauges of the services. */
--- a/src/control/team_report.cpp
+++ b/src/control/team_report.cpp
@@ -70,7 +70,8 @@
     metric jobs{"parsleyglade_team_jobs_total", "Jobs accepted and refused since the leader took over, by team.", {}};
     metric used{"parsleyglade_team_used_millicores", "Processor capacity that the tasks of a team use on all executors.", {}};
     metric waiting{"parsleyglade_team_waiting_tasks", "Tasks of a team that could start if there was capacity.", {}};
-    metric held{"parsleyglade_team_held_by_cap_total", "Seconds in which a team was at its cap while a task could have started, since the leader took over.", {}};
+    metric held{
+        "parsleyglade_team_held_by_cap_total", "Seconds in which a team was at its cap while a task could have started, since the leader took over.", {}};
     for (const auto &[name, team] : shown) {
         const team_counters &counters = team.counters;
         jobs.samples.push_back({{{"team", name}, {"event", "accepted"}}, toCounter(counters.acceptedJobs)});
--- a/src/scheduler/capacity_index.cpp
+++ b/src/scheduler/capacity_index.cpp
@@ -92,6 +92,15 @@
     return found == m_racks.end() ? noEntries : found->second;
 }
 
+std::vector<std::string> capacity_index::racksOf(const std::string &service) const
+{
+    std::vector<std::string> racks;
+    for (auto rack = m_racks.lower_bound({service, {}}); rack != m_racks.end() && rack->first.first == service; ++rack) {
+        racks.push_back(rack->first.second);
+    }
+    return racks;
+}
+
 std::int64_t capacity_index::largestFree(const std::string &service) const
 {
     const entries &executors = ofService(service);
--- a/src/scheduler/capacity_index.h
+++ b/src/scheduler/capacity_index.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace parsleyglade {
 
@@ -70,6 +71,9 @@
     /** Returns the executors of a service that are on a rack. */
     const entries &onRack(const std::string &service, const std::string &rack) const;
 
+    /** Returns the names of the racks that have executors of the service. */
+    std::vector<std::string> racksOf(const std::string &service) const;
+
     /** Returns the largest free processor capacity of an executor of the service, in millicores; negative if there is none. */
     std::int64_t largestFree(const std::string &service) const;
 
--- a/src/scheduler/executor_state.h
+++ b/src/scheduler/executor_state.h
@@ -3,8 +3,8 @@
 #include "core/time_types.h"
 #include "scheduler/attached_run.h"
 #include "scheduler/executor_description.h"
-#include "wire/resources.h"
 #include "scheduler/run_key.h"
+#include "wire/resources.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/src/scheduler/scheduled_job.h
+++ b/src/scheduler/scheduled_job.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "core/time_types.h"
-#include "wire/resources.h"
 #include "scheduler/run_phase.h"
 #include "scheduler/task_id.h"
 #include "scheduler/work_state.h"
 #include "teams/team_account.h"
+#include "wire/resources.h"
 #include "wire/wire.h"
 
 #include <cstdint>
@@ -54,6 +54,7 @@
     std::string checkpoint; /**< The latest known checkpoint; empty if there is none. */
     std::string lastExecutor; /**< Executor of the last run that ended. */
     time_point notBefore{}; /**< Earliest time at which the next run may be placed. */
+    time_point nearWaitSince{}; /**< When the task first found room only away from its data or its group, and waited; zero if it does not wait. */
     std::vector<scheduled_run> runs;
 
     /** Whether the task needs a run and has none. */
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "core/time_types.h"
+#include "locality/near_wait.h"
+#include "locality/rack_forecast.h"
 #include "scheduler/admission_control.h"
 #include "scheduler/arrival_window.h"
 #include "scheduler/call_access.h"
@@ -221,6 +223,14 @@
     {
         std::string service;
         std::optional<resources> unplaceable; /**< Last demand without placement constraints that fitted nowhere; larger demands need no search. */
+        const queue_policy *queue = nullptr; /**< Of the job that is being placed. */
+    };
+
+    /** Where the tasks of a group go that run faster together on one rack. */
+    struct group_place
+    {
+        std::string rack; /**< Empty if the step has no such group, or if the group already has a place. */
+        bool waits = false; /**< The group waits until the rack has room for all of it. */
     };
 
     /** Which executors of a list a search for a task need not look at. */
@@ -235,6 +245,7 @@
     {
         executor_state *executor = nullptr;
         std::int64_t cost = std::numeric_limits<std::int64_t>::max();
+        std::string nearRack; /**< Rack of the data or the group of the task; empty if there is none. */
     };
 
     void removeRestored(const std::string &key);
@@ -338,6 +349,18 @@
     step_availability availabilityOfOthers(scheduled_job &job, const task_id &taskId, time_point now) const;
     bool hasAlternativeExecutor(scheduled_job &job, const task_id &taskId, const executor_state &from, time_point now);
 
+    // places near the data or the group of a task
+    std::string findNearRack(const scheduled_job &job, const task_id &taskId) const;
+    rack_forecast &forecastOf(const std::string &service, const std::string &rack, time_point now);
+    static duration expectedEnd(const scheduled_run &run, const wire::step_record &step, double ratio, time_point now);
+    group_place chooseGroupPlace(scheduled_job &job, const queue_policy &queue, const task_id &first, std::int64_t tasks, time_point now);
+    near_wait_inputs makeNearInputs(const scheduled_job &job, const queue_policy &queue, const task_id &taskId, std::optional<duration> expectedWait,
+                                    time_point now) const;
+    bool decideNearWait(scheduled_job &job, const queue_policy &queue, const task_id &taskId, const std::string &rack, std::optional<duration> expectedWait,
+                        time_point now);
+    bool waitsForNearPlace(scheduled_job &job, const queue_policy &queue, const task_id &taskId, const executor_state &executor, time_point now);
+    void countPlace(scheduled_job &job, const task_id &taskId, const executor_state &executor, time_point now);
+
     // teams
     team_account &accountOf(const wire::work_record &work);
     void restoreAllowances();
@@ -372,13 +395,13 @@
     static bool hasWaitingTasks(const scheduled_job &job);
     void placeStep(scheduled_job &job, service_round &round, int occurrence, int step, time_point now);
     void placeGang(scheduled_job &job, service_round &round, int occurrence, int step, time_point now);
-    executor_state *chooseExecutor(scheduled_job &job, service_round &round, const task_id &taskId);
+    executor_state *chooseExecutor(scheduled_job &job, service_round &round, const task_id &taskId, const std::string &groupRack = {});
     void compareAll(scheduled_job &job, const capacity_index::entries &executors, const task_id &taskId, executor_choice &best);
     void compareTightest(scheduled_job &job, const capacity_index::entries &executors, const task_id &taskId, const search_bounds &bounds,
                          executor_choice &best);
     void compare(scheduled_job &job, executor_state &executor, const task_id &taskId, executor_choice &best);
     bool canRun(const executor_state &executor, const wire::step_record &step, const task_id &taskId) const;
-    std::int64_t placementCost(scheduled_job &job, const task_id &taskId, const executor_state &executor);
+    std::int64_t placementCost(scheduled_job &job, const task_id &taskId, const executor_state &executor, const std::string &nearRack);
     static int countServing(const executor_state &executor);
     static bool hasLongRunningTask(const executor_state &executor);
     void planRun(scheduled_job &job, const task_id &taskId, executor_state &executor, int run, time_point now);
@@ -406,6 +429,7 @@
     wake_queue m_wakes;
     capacity_index m_capacity; /**< Executors that accept work. */
     std::map<std::string, service_round> m_rounds; /**< By service, during one round of placement. */
+    std::map<std::pair<std::string, std::string>, rack_forecast> m_rackForecasts; /**< By service and rack, during one round of placement. */
     team_ledger m_teams;
     admission_control m_admission;
     time_point m_nextAdmissionUpdate{};
--- a/src/scheduler/scheduler_admission.cpp
+++ b/src/scheduler/scheduler_admission.cpp
@@ -44,10 +44,9 @@
             return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
         };
         addDecision("refuse", job, {},
-                    "queue=" + queue.name + " team=" + team.policy.name + " beyond-rate=" + std::to_string(isBeyondRate ? 1 : 0)
-                        + " expected-wait=" + toText(m_admission.expectedWait(queue.service, submitter)) + " wait-limit=" + toText(capacityLimit)
-                        + " control-delay=" + toText(m_admission.controlDelay(starts)) + " delay-limit=" + toText(controlLimit)
-                        + " retry-after=" + toText(*retryDelay));
+                    "queue=" + queue.name + " team=" + team.policy.name + " beyond-rate=" + std::to_string(isBeyondRate ? 1 : 0) + " expected-wait="
+                        + toText(m_admission.expectedWait(queue.service, submitter)) + " wait-limit=" + toText(capacityLimit) + " control-delay="
+                        + toText(m_admission.controlDelay(starts)) + " delay-limit=" + toText(controlLimit) + " retry-after=" + toText(*retryDelay));
     }
     return retryDelay;
 }
--- a/src/scheduler/scheduler_counters.h
+++ b/src/scheduler/scheduler_counters.h
@@ -19,6 +19,10 @@
     std::uint64_t undeliveredStarts = 0; /**< Start orders that were not sent, for instance because the executor refused the connection. */
     std::array<std::uint64_t, runEndNames.size()> ends{}; /**< Indexed by run_end. */
     std::uint64_t lostRuns = 0; /**< Given up because their executor was lost. */
+    std::uint64_t nearStarts = 0; /**< Of tasks that run faster on one rack, near their data or their group: those placed there. */
+    std::uint64_t remoteStarts = 0; /**< Of the same tasks, those placed elsewhere. */
+    std::uint64_t nearWaits = 0; /**< Tasks that waited for a near place although there was room elsewhere. */
+    duration nearWaitTime{}; /**< Their waits, summed. */
     std::uint64_t startedJobs = 0; /**< Jobs that have got their first start order. */
     duration startDelay{}; /**< From acceptance to the first start order, summed over startedJobs. */
 };
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -1,3 +1,4 @@
+#include "scheduler/job_objective.h"
 #include "scheduler/scheduler.h"
 
 #include <algorithm>
@@ -21,25 +22,13 @@
 constexpr int fullPace = 100;
 constexpr int lowestPace = 10;
 
-/** Time within which a job should finish, counted from its acceptance or its first due time, in milliseconds. */
-std::int64_t objectiveMilliseconds(const scheduled_job &job, const queue_policy &queue)
-{
-    const auto criticalPath = std::chrono::duration_cast<std::chrono::milliseconds>(job.criticalPath).count();
-    return static_cast<std::int64_t>(queue.stretch * static_cast<double>(criticalPath)) + queue.targetMilliseconds;
-}
-
-/** Wall-clock time from which the objective of a job counts, in milliseconds. */
-std::int64_t objectiveStart(const scheduled_job &job)
-{
-    return std::max(job.work.acceptedMilliseconds, job.work.repeatCount > 0 ? job.work.startAtMilliseconds : 0);
-}
-
 } // namespace
 
 void scheduler::place(time_point now, wall_time wallNow)
 {
     refreshTouched(now);
     m_rounds.clear();
+    m_rackForecasts.clear();
     const std::vector<ranked_job> ranking = rankWaitingJobs(wallNow);
     if (m_configuration.hasTeams) {
         placeByShare(ranking, now, wallNow);
@@ -54,7 +43,8 @@
 void scheduler::placeRanked(const ranked_job &ranked, time_point now, wall_time wallNow)
 {
     ++m_counters.jobVisits;
-    service_round &round = m_rounds.try_emplace(ranked.queue->service, service_round{ranked.queue->service, {}}).first->second;
+    service_round &round = m_rounds.try_emplace(ranked.queue->service, service_round{ranked.queue->service, {}, nullptr}).first->second;
+    round.queue = ranked.queue;
     if (round.unplaceable && round.unplaceable->fitsInto(ranked.job->smallestDemand)) {
         return; // an earlier job of this round needed no more and found no room
     }
@@ -192,6 +182,10 @@
 void scheduler::placeStep(scheduled_job &job, service_round &round, int occurrence, int step, time_point now)
 {
     auto &tasks = job.occurrences[static_cast<std::size_t>(occurrence)].steps[static_cast<std::size_t>(step)].tasks;
+    const group_place group = chooseGroupPlace(job, *round.queue, {job.id, occurrence, step, 0}, countReadyTasks(job, occurrence, step), now);
+    if (group.waits) {
+        return;
+    }
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         scheduled_task &task = tasks[index];
         if (!task.isWaiting() || now < task.notBefore) {
@@ -201,10 +195,13 @@
             return; // the other tasks of the step need the same resources
         }
         const task_id taskId{job.id, occurrence, step, static_cast<int>(index)};
-        executor_state *executor = chooseExecutor(job, round, taskId);
+        executor_state *executor = chooseExecutor(job, round, taskId, group.rack);
         if (executor == nullptr) {
             return;
         }
+        if (waitsForNearPlace(job, *round.queue, taskId, *executor, now)) {
+            continue;
+        }
         planRun(job, taskId, *executor, task.lastRun + 1, now);
     }
 }
@@ -227,11 +224,15 @@
     if (!hasRoomForTeam(job, whole)) {
         return;
     }
+    const group_place group = chooseGroupPlace(job, *round.queue, {job.id, occurrence, step, 0}, static_cast<std::int64_t>(tasks.size()), now);
+    if (group.waits) {
+        return;
+    }
     const resources demand = reservedBy(job.work.steps[static_cast<std::size_t>(step)]);
     const std::optional<resources> unplaceableBefore = round.unplaceable;
     std::vector<executor_state *> chosen;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
-        executor_state *executor = chooseExecutor(job, round, {job.id, occurrence, step, static_cast<int>(index)});
+        executor_state *executor = chooseExecutor(job, round, {job.id, occurrence, step, static_cast<int>(index)}, group.rack);
         if (executor == nullptr) {
             break;
         }
@@ -249,12 +250,17 @@
         }
         return;
     }
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        if (waitsForNearPlace(job, *round.queue, {job.id, occurrence, step, static_cast<int>(index)}, *chosen[index], now)) {
+            return; // the members of a gang start together
+        }
+    }
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         planRun(job, {job.id, occurrence, step, static_cast<int>(index)}, *chosen[index], lastRun + 1, now);
     }
 }
 
-executor_state *scheduler::chooseExecutor(scheduled_job &job, service_round &round, const task_id &taskId)
+executor_state *scheduler::chooseExecutor(scheduled_job &job, service_round &round, const task_id &taskId, const std::string &groupRack)
 {
     const wire::step_record &step = job.work.steps[static_cast<std::size_t>(taskId.step)];
     const resources demand = reservedBy(step);
@@ -268,14 +274,15 @@
     const std::int64_t limit = isExceeded ? round.unplaceable->cpuMillicores : std::numeric_limits<std::int64_t>::max();
 
     executor_choice best;
+    best.nearRack = step.preferredRack.empty() ? groupRack : step.preferredRack;
     const capacity_index::entries &executors = m_capacity.ofService(round.service);
     if (step.fillsIdle) {
         compareAll(job, executors, taskId, best);
     } else {
-        if (!step.preferredRack.empty()) {
-            compareTightest(job, m_capacity.onRack(round.service, step.preferredRack), taskId, {0, limit}, best);
+        if (!best.nearRack.empty()) {
+            compareTightest(job, m_capacity.onRack(round.service, best.nearRack), taskId, {0, limit}, best);
         }
-        compareTightest(job, executors, taskId, {step.preferredRack.empty() ? 0 : otherRackCost, limit}, best);
+        compareTightest(job, executors, taskId, {best.nearRack.empty() ? 0 : otherRackCost, limit}, best);
     }
     if (best.executor == nullptr && step.requiredLabel.empty() && step.maximumPerExecutor == 0) {
         round.unplaceable = demand;
@@ -310,9 +317,10 @@
     if (!canRun(executor, job.work.steps[static_cast<std::size_t>(taskId.step)], taskId)) {
         return;
     }
-    const std::int64_t cost = placementCost(job, taskId, executor);
+    const std::int64_t cost = placementCost(job, taskId, executor, best.nearRack);
     if (cost < best.cost) {
-        best = {&executor, cost};
+        best.executor = &executor;
+        best.cost = cost;
     }
 }
 
@@ -347,12 +355,12 @@
                        [](const attached_run &key) { return key.job->work.steps[static_cast<std::size_t>(key.task.step)].longRunning; });
 }
 
-std::int64_t scheduler::placementCost(scheduled_job &job, const task_id &taskId, const executor_state &executor)
+std::int64_t scheduler::placementCost(scheduled_job &job, const task_id &taskId, const executor_state &executor, const std::string &nearRack)
 {
     const wire::step_record &step = job.work.steps[static_cast<std::size_t>(taskId.step)];
     const scheduled_task &task = job.task(taskId);
     std::int64_t cost = 0;
-    if (!step.preferredRack.empty() && step.preferredRack != executor.description.rack) {
+    if (!nearRack.empty() && nearRack != executor.description.rack) {
         cost += otherRackCost;
     }
     if (task.lastFailedRun > 0 && task.lastExecutor == executor.description.id) {
@@ -388,6 +396,7 @@
     added.boot = executor.description.boot;
     added.phaseStartedAt = now;
 
+    countPlace(job, taskId, executor, now);
     const run_key key{taskId, run};
     attachRun(executor, job, key);
     m_capacity.update(executor);
--- a/src/scheduler/scheduler_settings.h
+++ b/src/scheduler/scheduler_settings.h
@@ -42,6 +42,7 @@
     int uselessAfterObjectives = 3; /**< A job that takes longer than this many times its objective is no longer useful to its caller. */
     duration arrivalWindow = std::chrono::milliseconds{2000}; /**< Window over which the trend of arriving work is measured; its newer half gives the rate. */
     duration demandHorizon = std::chrono::milliseconds{1800}; /**< Time ahead to which demand is extrapolated: the time that a move of a host takes. */
+    double remoteRunFactor = 1.0; /**< How many times as long a task takes away from its data or its group. With 1 no task waits for a near place. */
     duration paceInterval = std::chrono::milliseconds{500}; /**< Minimum time between two changes of the pace of a task. */
     duration stallTimeout = std::chrono::milliseconds{2500}; /**< A task without progress for this time is stopped and started elsewhere. */
     duration ejectionTime = std::chrono::seconds{4}; /**< How long an executor gets no work after repeated failures or a stalled task. */
--- a/tests/operator_client/operator_commands_test.cpp
+++ b/tests/operator_client/operator_commands_test.cpp
@@ -358,3 +358,39 @@
         CHECK(text.find(expected) != std::string::npos);
     }
 }
+
+// Guards against a client that stops at an entry host which does not lead, and against a table that leaves out the reason of a refusal.
+TEST_CASE("teams shows what the leader knows of each team", "[operator_client]")
+{
+    event_loop loop;
+    admin_stand_in follower(loop);
+    admin_stand_in leader(loop);
+    follower.setResponse("GET /v1/teams", 503, json::object());
+    leader.setResponse("GET /v1/teams", 200,
+                       {{"configurationVersion", 7},
+                        {"teams",
+                         {{{"name", "red"},
+                           {"weight", 2.4},
+                           {"cap", {{"millicores", 4'000}}},
+                           {"used", {{"millicores", 3'500}}},
+                           {"waitingJobs", 3},
+                           {"waitingTasks", 17},
+                           {"acceptedJobs", 40},
+                           {"acceptedBeyondRate", 5},
+                           {"refusedBeyondRate", 6},
+                           {"refusedForWait", 8},
+                           {"refusedForCap", 9}},
+                          {{"name", "blue"}, {"cap", {{"millicores", 0}}}}}}});
+    client_fixture client(loop, {follower.address(), leader.address()});
+    CHECK(client.commands.teams() == exit_code::ok);
+    const std::string text = client.result.str();
+    INFO(text);
+    CHECK(text.find("teams, configuration 7:") == 0);
+    for (const char *value : {"red", "3.5", "4.0", "17", "40", "blue", "none"}) {
+        CHECK(text.find(value) != std::string::npos);
+    }
+
+    leader.setResponse("GET /v1/teams", 503, json::object());
+    client_fixture alone(loop, {follower.address()});
+    CHECK(alone.commands.teams() != exit_code::ok);
+}
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -1,3 +1,4 @@
+#include "configuration_file_check.h"
 #include "control/entry_host_settings.h"
 #include "platform_decoder.h"
 #include "platform_executors.h"
@@ -194,8 +195,12 @@
 // Guards against a deployment template that no longer matches the settings parser.
 TEST_CASE("the filled-in settings template is accepted by the settings parser", "[wire]")
 {
-    std::string text = readSourceFile("deploy/node.json.template");
-    const std::vector<std::pair<std::string, std::string>> values{{"\\{\\{(Listen\\.\\w+|platform\\.Address)\\|json\\}\\}", "\"10.0.0.1:80\""},
+    // Sections are optional: the platform fills them in only where a deployment has the value.
+    const bool hasOptionalValues = GENERATE(false, true);
+    std::string text = std::regex_replace(readSourceFile("deploy/node.json.template"), std::regex("\\{\\{#[\\w.]+\\}\\}(.*)\\{\\{/[\\w.]+\\}\\}"),
+                                          hasOptionalValues ? "$1" : "");
+    const std::vector<std::pair<std::string, std::string>> values{{"\\{\\{Bounds\\.RemoteFactor\\}\\}", "1.5"},
+                                                                  {"\\{\\{(Listen\\.\\w+|platform\\.Address)\\|json\\}\\}", "\"10.0.0.1:80\""},
                                                                   {"\\{\\{\\w+\\|json\\}\\}", "\"name\""},
                                                                   {"\\{\\{Ip\\}\\}", "10.0.0.1"},
                                                                   {"\\{\\{(CloudApi\\.Address|Advice)\\}\\}", "10.0.0.2:81"},
@@ -214,6 +219,8 @@
     CHECK(settings->maximumLease == 7s);
     CHECK(settings->configurationBound == 7s);
     CHECK(settings->processorShare == 0.12);
+    CHECK(settings->remoteRunFactor == (hasOptionalValues ? 1.5 : 1.0));
+    CHECK(settings->revocationBound == (hasOptionalValues ? std::optional<duration>(7s) : std::nullopt));
 }
 
 // Guards against a parser that accepts invalid settings or stops at the first error.
@@ -224,3 +231,62 @@
     REQUIRE_FALSE(settings);
     CHECK(settings.failures().size() > 5);
 }
+
+// Guards against keys, weights or caps that are read wrongly, and against a deployment without teams that suddenly needs keys.
+TEST_CASE("teams, their keys, weights and caps are decoded, and a configuration without them needs no keys", "[wire]")
+{
+    const platform_decoder decoder;
+    const auto with = decoder.decodeConfiguration(
+        R"({"Version":7,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/","Service":"s","Public":false},{"Name":"o","Host":"h","PathPrefix":"/o/","Service":"s",)"
+        R"("Public":true}],"Tenants":[{"Name":"red","ApiKeys":["k1","k2"],"Priority":1,"Weight":2.5,"Cap":{"Cpu":4000,"MemMb":512,"Gpus":0}},7,{"Name":"blue"}]})");
+    REQUIRE(with);
+    CHECK(with->hasTeams);
+    REQUIRE(with->teams.size() == 2);
+    CHECK(with->teams[0].priority == 1);
+    CHECK(with->teams[0].weight == 2.5);
+    CHECK(with->teams[0].cap == resources{4'000, 512, 0});
+    REQUIRE(with->keys.findTeam(digestOfKey("k2")) != nullptr);
+    CHECK(*with->keys.findTeam(digestOfKey("k2")) == "red");
+    CHECK(with->needsKey(with->queues[0]));
+    CHECK_FALSE(with->needsKey(with->queues[1]));
+
+    const auto without = decoder.decodeConfiguration(R"({"Version":7,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/","Service":"s"}]})");
+    REQUIRE(without);
+    CHECK_FALSE(without->needsKey(without->queues[0]));
+
+    // The last team has been withdrawn: its queues must not become open to everybody.
+    const auto withdrawn
+        = decoder.decodeConfiguration(R"({"Version":8,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/","Service":"s","Public":false}],"Tenants":[]})");
+    REQUIRE(withdrawn);
+    CHECK(withdrawn->needsKey(withdrawn->queues[0]));
+}
+
+// Guards against a fault that is reported at the wrong place of the operator's file.
+TEST_CASE("findings of a configuration file have JSON pointers in the operator's names", "[wire]")
+{
+    const std::string good = R"({"Version":7,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/","Service":"s","MaxAttempts":2,"Stretch":1.6}],)"
+                             R"("Services":[{"Name":"s"}]})";
+    const auto clean = checkConfigurationText(good, std::nullopt);
+    REQUIRE(clean);
+    CHECK(clean->findings.empty());
+
+    const auto repeated = checkConfigurationText(good, good);
+    REQUIRE(repeated);
+    REQUIRE(repeated->findings.size() == 1);
+    CHECK(repeated->findings[0].pointer == "/Version");
+    CHECK(repeated->differences.empty());
+
+    const auto faulty
+        = checkConfigurationText(R"({"Version":8,"Routes":[{"Name":"r","Host":"h","PathPrefix":"p/","Service":"s"}],"Services":[{"Name":"s"}]})", good);
+    REQUIRE(faulty);
+    CHECK(faulty->hasErrors());
+    CHECK(faulty->findings[0].pointer == "/Routes/0/PathPrefix");
+
+    const auto skipped = checkConfigurationText(R"({"Version":8,"Routes":["x"],"Services":{}})", std::nullopt);
+    REQUIRE(skipped);
+    REQUIRE(skipped->findings.size() == 2);
+    CHECK(skipped->findings[0].pointer == "/Routes/0");
+    CHECK(skipped->findings[1].pointer == "/Services");
+
+    CHECK_FALSE(checkConfigurationText("[]", std::nullopt));
+}
--- a/tests/scheduler/manual_cluster.h
+++ b/tests/scheduler/manual_cluster.h
@@ -3,6 +3,7 @@
 #include "scheduler/scheduler.h"
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -13,7 +14,8 @@
 {
 public:
     /** @param teams of the configuration; none for a deployment without teams */
-    explicit manual_cluster(std::vector<team_policy> teams = {})
+    explicit manual_cluster(std::vector<team_policy> teams = {}, scheduler_settings settings = {})
+        : state(settings)
     {
         configuration.version = 1;
         queue_policy queue;
@@ -39,7 +41,7 @@
         ++configuration.version;
     }
 
-    void addExecutor(const std::string &id, resources capacity = {8'000, 16'000, 0})
+    void addExecutor(const std::string &id, resources capacity = {8'000, 16'000, 0}, const std::string &rack = {})
     {
         executor_description description;
         description.id = id;
@@ -47,6 +49,7 @@
         description.address = id;
         description.service = "service";
         description.capacity = capacity;
+        description.rack = rack;
         description.clockMilliseconds = 1'000;
         state.updateExecutor(description, now);
         respondToPoll(id);
@@ -68,6 +71,27 @@
         state.handlePollResponse(id, response, now, now);
     }
 
+    /** Ends all runs of a job on the executor well, with the response to its next poll. */
+    void endRuns(const std::string &id, const std::string &job)
+    {
+        now = std::max(now, state.findExecutor(id)->nextPoll);
+        if (!state.takePoll(id, now)) {
+            return;
+        }
+        poll_response response;
+        response.result = order_result::done;
+        response.boot = 1;
+        response.clockMilliseconds = clock();
+        for (const run_key &key : state.findExecutor(id)->runs) {
+            if (key.task.job == job) {
+                response.finished.push_back({++lastEnd[id], key.task, key.run, run_end::done, {}});
+            } else {
+                response.running.push_back({key.task, key.run, {}, 0, 0});
+            }
+        }
+        state.handlePollResponse(id, response, now, now);
+    }
+
     void failPoll(const std::string &id)
     {
         if (state.takePoll(id, now)) {
@@ -120,7 +144,8 @@
 
     time_point now{std::chrono::seconds{100}};
     queue_configuration configuration;
-    scheduler state{scheduler_settings{}};
+    scheduler state;
+    std::map<std::string, std::int64_t> lastEnd; /**< Number of the last end of each executor. */
     order_result startResult = order_result::done;
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
--- a/tools/measure-scheduler/main.cpp
+++ b/tools/measure-scheduler/main.cpp
@@ -48,8 +48,9 @@
                 static_cast<unsigned long long>(report.completedJobs), static_cast<unsigned long long>(report.lateJobs),
                 static_cast<unsigned long long>(report.unfinishedJobs));
     if (settings.teams > 0) {
-        std::printf("  other teams than the first: first start after p50 %.0f ms p95 %.0f ms, %llu refused\n", percentileMilliseconds(report.quietStartDelays, 0.5),
-                    percentileMilliseconds(report.quietStartDelays, 0.95), static_cast<unsigned long long>(report.refusedQuietJobs));
+        std::printf("  other teams than the first: first start after p50 %.0f ms p95 %.0f ms, %llu refused\n",
+                    percentileMilliseconds(report.quietStartDelays, 0.5), percentileMilliseconds(report.quietStartDelays, 0.95),
+                    static_cast<unsigned long long>(report.refusedQuietJobs));
     }
     printCost("submit", report.submit, report);
     printCost("decide", report.decide, report);
