--- a/src/control/load_reporter.cpp
+++ b/src/control/load_reporter.cpp
@@ -40,6 +40,9 @@
             + " near-waits=" + std::to_string(current.nearWaits - last.nearWaits)
             + " near-wait-ms=" + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(current.nearWaitTime - last.nearWaitTime).count());
     }
+    if (current.copies > last.copies) {
+        text += " copies=" + std::to_string(current.copies - last.copies);
+    }
     const auto startedJobs = static_cast<std::int64_t>(current.startedJobs - last.startedJobs);
     if (startedJobs > 0) {
         const auto mean = std::chrono::duration_cast<std::chrono::milliseconds>((current.startDelay - last.startDelay) / startedJobs);
@@ -171,6 +174,7 @@
     for (const auto &[service, values] : counters.services) {
         runs.samples.push_back({{{"service", service}, {"event", "start"}}, toCounter(values.starts)});
         runs.samples.push_back({{{"service", service}, {"event", "lost"}}, toCounter(values.lostRuns)});
+        runs.samples.push_back({{{"service", service}, {"event", "copy"}}, toCounter(values.copies)});
         runs.samples.push_back({{{"service", service}, {"event", "undelivered"}}, toCounter(values.undeliveredStarts)});
         for (std::size_t end = 0; end < runEndNames.size(); ++end) {
             runs.samples.push_back({{{"service", service}, {"event", std::string(runEndNames.at(end))}}, toCounter(endsOf(values, static_cast<run_end>(end)))});
--- a/src/locality/near_wait.cpp
+++ b/src/locality/near_wait.cpp
@@ -15,7 +15,7 @@
         return near_choice::not_expected;
     }
     const duration loss = remoteLoss(inputs);
-    const duration bound = std::min(inputs.isRoomWanted ? 2 * loss : loss, maximumNearWait);
+    const duration bound = std::min(inputs.isRoomWanted ? 2 * loss : loss / 2, maximumNearWait);
     if (inputs.waited + *inputs.expectedWait >= bound) {
         return near_choice::costs_more;
     }
--- a/src/locality/near_wait.h
+++ b/src/locality/near_wait.h
@@ -44,8 +44,9 @@
 /**
  * Decides whether a task waits for a place near its data or its group, or starts elsewhere now. Asked again in each round, as the forecast changes.
  *
- * The whole wait is bounded by what it saves: the loss of running elsewhere, twice that where others want the room. So a task whose forecast proves
- * wrong again and again ends at most that much later than if it had not waited.
+ * The whole wait is bounded by what it saves. While nobody else wants the room, that is half of the loss of running elsewhere, because forecasts err and the
+ * job would often be on time elsewhere as well. Where others want the room, it is twice the loss: the task would also take it from them for that much longer.
+ * So a task whose forecast proves wrong again and again ends at most that much later than if it had not waited.
  */
 near_choice chooseNear(const near_wait_inputs &inputs);
 
--- a/src/scheduler/scheduled_job.h
+++ b/src/scheduler/scheduled_job.h
@@ -27,6 +27,7 @@
     duration orderAge{}; /**< For a restored run whose previous leader resigned: minimum time between its last start order and the resignation. */
     bool isRestored = false; /**< Read from the journal: the previous leader may have ordered its stop. */
     bool isConfirmed = false; /**< The executor has confirmed the start, and no start order is in flight. */
+    bool isCopy = false; /**< A second copy, started beside a run on a slow executor. Not known of a restored run. */
     bool isListed = false; /**< A poll response of the boot has listed the run. A start is confirmed without naming the boot. */
     bool isOrderInFlight = false; /**< A start or stop order is in flight. */
     time_point phaseStartedAt{}; /**< When the current phase began. */
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -278,6 +278,7 @@
     bool hasExhaustedAttempts(const scheduled_job &job, const task_id &taskId);
     bool hasExhaustedTask(const scheduled_job &job);
     void endExhaustedJobs();
+    duration stallTimeoutOf(const attached_run &attached) const;
     void stopStalledRuns(executor_state &executor, time_point now);
     void countFailure(executor_state &executor, const std::string &job, time_point now);
     void confirmRun(scheduled_job &job, const task_id &taskId, scheduled_run &run);
@@ -349,6 +350,13 @@
     step_availability availabilityOfOthers(scheduled_job &job, const task_id &taskId, time_point now) const;
     bool hasAlternativeExecutor(scheduled_job &job, const task_id &taskId, const executor_state &from, time_point now);
 
+    // second copies of slow tasks
+    bool isSlow(const executor_state &executor, time_point now) const;
+    void findCopies(const executor_state &executor, time_point now);
+    void placeCopies(time_point now);
+    executor_state *chooseForCopy(const scheduled_job &job, const queue_policy &queue, const task_id &taskId, const std::string &slowExecutor, time_point now);
+    void releaseCopy(const scheduled_job &job, const scheduled_run &run, const wire::step_record &step);
+
     // places near the data or the group of a task
     std::string findNearRack(const scheduled_job &job, const task_id &taskId) const;
     rack_forecast &forecastOf(const std::string &service, const std::string &rack, time_point now);
@@ -430,6 +438,8 @@
     capacity_index m_capacity; /**< Executors that accept work. */
     std::map<std::string, service_round> m_rounds; /**< By service, during one round of placement. */
     std::map<std::pair<std::string, std::string>, rack_forecast> m_rackForecasts; /**< By service and rack, during one round of placement. */
+    std::vector<run_key> m_copyCandidates; /**< Runs on slow executors, of tasks that permit copies. */
+    std::unordered_map<std::string, std::int64_t> m_copiesMillicores; /**< Reserved by copies, by queue. */
     team_ledger m_teams;
     admission_control m_admission;
     time_point m_nextAdmissionUpdate{};
--- a/src/scheduler/scheduler_counters.h
+++ b/src/scheduler/scheduler_counters.h
@@ -23,6 +23,7 @@
     std::uint64_t remoteStarts = 0; /**< Of the same tasks, those placed elsewhere. */
     std::uint64_t nearWaits = 0; /**< Tasks that waited for a near place although there was room elsewhere. */
     duration nearWaitTime{}; /**< Their waits, summed. */
+    std::uint64_t copies = 0; /**< Second copies of tasks on slow executors. */
     std::uint64_t startedJobs = 0; /**< Jobs that have got their first start order. */
     duration startDelay{}; /**< From acceptance to the first start order, summed over startedJobs. */
 };
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -348,6 +348,15 @@
 }
 
 /** Stops runs that make no progress, and keeps new work from their executor for a while. */
+/** Returns how long a run may show no progress. Progress is reported in percent, so a long task shows some only now and then. */
+duration scheduler::stallTimeoutOf(const attached_run &attached) const
+{
+    constexpr int stallShare = 10; // a tenth of the expected run time is ten percent of progress, or one of a task that is ten times as slow
+    const std::int64_t estimate = attached.job->work.steps[static_cast<std::size_t>(attached.task.step)].estimateMilliseconds;
+    const auto expected = std::chrono::duration_cast<duration>(std::chrono::milliseconds(estimate) * runTimeRatio(attached.job->work.queue));
+    return std::max(m_settings.stallTimeout, expected / stallShare);
+}
+
 void scheduler::stopStalledRuns(executor_state &executor, time_point now)
 {
     for (const attached_run &key : executor.runs) {
@@ -357,7 +366,7 @@
             continue;
         }
         const time_point lastProgress = std::max(run->progressAt, run->startedAt);
-        if (executor.lastPollResponseAt - lastProgress > m_settings.stallTimeout) {
+        if (executor.lastPollResponseAt - lastProgress > stallTimeoutOf(key)) {
             addTaskDecision("stop-stalled", key.task, executor.description.id, "run=" + std::to_string(key.run) + " progress=" + std::to_string(run->progress));
             executor.avoidUntil = now + m_settings.ejectionTime;
             stopRun(*run, now);
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -37,6 +37,7 @@
             placeRanked(ranked, now, wallNow);
         }
     }
+    placeCopies(now);
     updateAdmission(now);
 }
 
--- a/src/scheduler/scheduler_runs.cpp
+++ b/src/scheduler/scheduler_runs.cpp
@@ -77,6 +77,7 @@
     const wire::step_record &step = job.work.steps[static_cast<std::size_t>(key.task.step)];
     const auto found = m_executors.find(run->executor);
     task.lastExecutor = run->executor;
+    releaseCopy(job, *run, step);
     std::erase_if(task.runs, [&](const scheduled_run &candidate) { return candidate.run == key.run; });
     markChanged(job);
 
@@ -109,6 +110,7 @@
     }
     executor.nextCheck = now + m_settings.idleCheckInterval; // stopRun() brings the next check forward
     stopStalledRuns(executor, now);
+    findCopies(executor, now);
     repeatOrders(executor, now);
     if (executor.isEvacuating) {
         evacuate(executor, now);
--- a/src/scheduler/scheduler_settings.h
+++ b/src/scheduler/scheduler_settings.h
@@ -44,7 +44,8 @@
     duration demandHorizon = std::chrono::milliseconds{1800}; /**< Time ahead to which demand is extrapolated: the time that a move of a host takes. */
     double remoteRunFactor = 1.0; /**< How many times as long a task takes away from its data or its group. With 1 no task waits for a near place. */
     duration paceInterval = std::chrono::milliseconds{500}; /**< Minimum time between two changes of the pace of a task. */
-    duration stallTimeout = std::chrono::milliseconds{2500}; /**< A task without progress for this time is stopped and started elsewhere. */
+    duration stallTimeout = std::chrono::milliseconds{2500}; /**< A task without progress for this time, or for a tenth of its expected run time, is stopped and
+                                                                  started elsewhere. */
     duration ejectionTime = std::chrono::seconds{4}; /**< How long an executor gets no work after repeated failures or a stalled task. */
     int ejectionFailures = 3; /**< Consecutive failed runs of different jobs after which an executor is ejected. */
 };
