--- a/tests/scheduler/team_test.cpp
+++ b/tests/scheduler/team_test.cpp
@@ -43,6 +43,16 @@
     return static_cast<std::size_t>(std::count_if(tasks.begin(), tasks.end(), [](const scheduled_task &task) { return !task.runs.empty(); }));
 }
 
+/** Lets a scheduler take over with what the journal has. */
+void succeed(scheduler &successor, const manual_cluster &cluster)
+{
+    for (const auto &[key, value] : cluster.journal) {
+        REQUIRE(successor.restore(key, value));
+    }
+    successor.lead(2, cluster.now, cluster.wall());
+    successor.setConfiguration(cluster.configuration);
+}
+
 wire::work_call makeCall(wire::work_call_kind::type kind, const std::string &job, const std::string &key)
 {
     wire::work_call call;
@@ -167,24 +177,11 @@
 {
     manual_cluster cluster({makeTeam("red", 10, {3'000, 0, 0})});
     cluster.addExecutor("a");
-    std::map<std::string, std::string> journal;
     cluster.submit("red-1", {makeStep(8, 1'000)}, "red");
-    for (int round = 0; round < 3; ++round) {
-        cluster.state.decide(cluster.now, cluster.wall());
-        if (const auto batch = cluster.state.takeBatch()) {
-            for (const journal_entry &entry : batch->entries) {
-                journal[entry.key] = entry.value;
-            }
-            cluster.state.confirmBatch(batch->number, cluster.now);
-        }
-    }
+    cluster.settle();
 
     scheduler successor{scheduler_settings{}};
-    for (const auto &[key, value] : journal) {
-        REQUIRE(successor.restore(key, value));
-    }
-    successor.lead(2, cluster.now, cluster.wall());
-    successor.setConfiguration(cluster.configuration);
+    succeed(successor, cluster);
     CHECK(successor.teamStatuses().at("red").used.cpuMillicores == 3'000);
 }
 
@@ -251,22 +248,12 @@
 TEST_CASE("a successor counts what its predecessor has just accepted against the rate", "[scheduler]")
 {
     manual_cluster cluster({makeTeam("red", 3)});
-    std::map<std::string, std::string> journal;
     for (int number = 0; number < 8; ++number) {
         cluster.submit("red-" + std::to_string(number), {makeStep(1, 500)}, "red");
     }
-    while (const auto batch = cluster.state.takeBatch()) {
-        for (const journal_entry &entry : batch->entries) {
-            journal[entry.key] = entry.value;
-        }
-        cluster.state.confirmBatch(batch->number, cluster.now);
-    }
+    cluster.settle(1ms);
     scheduler successor{scheduler_settings{}};
-    for (const auto &[key, value] : journal) {
-        REQUIRE(successor.restore(key, value));
-    }
-    successor.lead(2, cluster.now, cluster.wall());
-    successor.setConfiguration(cluster.configuration);
+    succeed(successor, cluster);
     wire::work_record work;
     work.queue = "queue";
     work.__set_team("red");
