--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -358,10 +358,11 @@
     void releaseCopy(const scheduled_job &job, const scheduled_run &run, const wire::step_record &step);
 
     // places near the data or the group of a task
+    static bool hasNearRack(const wire::step_record &step);
     std::string findNearRack(const scheduled_job &job, const task_id &taskId) const;
     rack_forecast &forecastOf(const std::string &service, const std::string &rack, time_point now);
     static duration expectedEnd(const scheduled_run &run, const wire::step_record &step, double ratio, time_point now);
-    group_place chooseGroupPlace(scheduled_job &job, const queue_policy &queue, const task_id &first, std::int64_t tasks, time_point now);
+    group_place chooseGroupPlace(scheduled_job &job, const queue_policy &queue, int occurrence, int stepNumber, time_point now);
     near_wait_inputs makeNearInputs(const scheduled_job &job, const queue_policy &queue, const task_id &taskId, std::optional<duration> expectedWait,
                                     time_point now) const;
     bool decideNearWait(scheduled_job &job, const queue_policy &queue, const task_id &taskId, const std::string &rack, std::optional<duration> expectedWait,
@@ -399,6 +400,7 @@
     void addDemand(service_demand &demand, const scheduled_job &job, team_headroom &headroom) const;
     void placeRanked(const ranked_job &ranked, time_point now, wall_time wallNow);
     void placeByShare(const std::vector<ranked_job> &ranking, time_point now, wall_time wallNow);
+    void placeSameRank(const std::vector<ranked_job> &ranking, std::size_t begin, std::size_t end, time_point now, wall_time wallNow);
     void placeJob(scheduled_job &job, service_round &round, time_point now, wall_time wallNow);
     static bool hasWaitingTasks(const scheduled_job &job);
     void placeStep(scheduled_job &job, service_round &round, int occurrence, int step, time_point now);
@@ -443,6 +445,7 @@
     team_ledger m_teams;
     admission_control m_admission;
     time_point m_nextAdmissionUpdate{};
+    time_point m_nextTeamCapacityUpdate{};
     duration m_decisionInterval{}; /**< Between two calls of decide(), averaged. */
     start_delay m_startDelay; /**< From planRun() to sendStart(). */
     std::unordered_map<std::string, run_time_ratio> m_runTimeRatios; /**< By queue. */
--- a/src/scheduler/scheduler_admission.cpp
+++ b/src/scheduler/scheduler_admission.cpp
@@ -128,6 +128,9 @@
                 continue;
             }
             const std::int64_t waiting = countReadyTasks(job, static_cast<int>(occurrence), static_cast<int>(step));
+            if (waiting == 0) {
+                continue;
+            }
             const double workPerTask = ratio * static_cast<double>(perTaskMillicores * description.estimateMilliseconds);
             const std::int64_t startable = headroom.take(*job.team, perTaskMillicores, waiting);
             load.add({job.team, m_teams.weightOf(*job.team), job.work.beyondRate}, workPerTask * static_cast<double>(startable),
--- a/src/scheduler/scheduler_locality.cpp
+++ b/src/scheduler/scheduler_locality.cpp
@@ -14,6 +14,12 @@
 
 } // namespace
 
+/** Whether the tasks of a step may run faster on one rack than on others. */
+bool scheduler::hasNearRack(const wire::step_record &step)
+{
+    return !step.preferredRack.empty() || step.tightlyCoupled;
+}
+
 /** Returns the rack near which the tasks of a step run faster: that of its data, or that of the members of its group that have a run. Empty if there is
     none, or if the members are on several racks, where it makes no difference any more. */
 std::string scheduler::findNearRack(const scheduled_job &job, const task_id &taskId) const
@@ -120,7 +126,7 @@
 /** Whether a task that could start on the given executor waits for a place near its data or its group instead. */
 bool scheduler::waitsForNearPlace(scheduled_job &job, const queue_policy &queue, const task_id &taskId, const executor_state &executor, time_point now)
 {
-    if (m_settings.remoteRunFactor <= 1.0) {
+    if (m_settings.remoteRunFactor <= 1.0 || !hasNearRack(job.work.steps[static_cast<std::size_t>(taskId.step)])) {
         return false;
     }
     const std::string rack = findNearRack(job, taskId);
@@ -137,14 +143,18 @@
 }
 
 /** Chooses a rack for a group of which no member has a run: the one that has room for all of it the soonest, and of those that have it now the fullest. The
-    whole group waits for it, or starts wherever there is room.
-    @param first the member whose wait stands for that of the group @param tasks number of its members */
-scheduler::group_place scheduler::chooseGroupPlace(scheduled_job &job, const queue_policy &queue, const task_id &first, std::int64_t tasks, time_point now)
+    whole group waits for it, or starts wherever there is room. The wait of its first member stands for that of the group. */
+scheduler::group_place scheduler::chooseGroupPlace(scheduled_job &job, const queue_policy &queue, int occurrence, int stepNumber, time_point now)
 {
-    const wire::step_record &step = job.work.steps[static_cast<std::size_t>(first.step)];
-    if (m_settings.remoteRunFactor <= 1.0 || !step.tightlyCoupled || !step.preferredRack.empty() || tasks < step.taskCount) {
+    const wire::step_record &step = job.work.steps[static_cast<std::size_t>(stepNumber)];
+    if (m_settings.remoteRunFactor <= 1.0 || !step.tightlyCoupled || !step.preferredRack.empty()) {
+        return {};
+    }
+    const std::int64_t tasks = countReadyTasks(job, occurrence, stepNumber);
+    if (tasks < step.taskCount) {
         return {};
     }
+    const task_id first{job.id, occurrence, stepNumber, 0};
     const std::int64_t demand = reservedBy(step).cpuMillicores;
     group_place place;
     std::optional<duration> shortest;
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -183,7 +183,7 @@
 void scheduler::placeStep(scheduled_job &job, service_round &round, int occurrence, int step, time_point now)
 {
     auto &tasks = job.occurrences[static_cast<std::size_t>(occurrence)].steps[static_cast<std::size_t>(step)].tasks;
-    const group_place group = chooseGroupPlace(job, *round.queue, {job.id, occurrence, step, 0}, countReadyTasks(job, occurrence, step), now);
+    const group_place group = chooseGroupPlace(job, *round.queue, occurrence, step, now);
     if (group.waits) {
         return;
     }
@@ -225,7 +225,7 @@
     if (!hasRoomForTeam(job, whole)) {
         return;
     }
-    const group_place group = chooseGroupPlace(job, *round.queue, {job.id, occurrence, step, 0}, static_cast<std::int64_t>(tasks.size()), now);
+    const group_place group = chooseGroupPlace(job, *round.queue, occurrence, step, now);
     if (group.waits) {
         return;
     }
@@ -397,7 +397,9 @@
     added.boot = executor.description.boot;
     added.phaseStartedAt = now;
 
-    countPlace(job, taskId, executor, now);
+    if (hasNearRack(job.work.steps[static_cast<std::size_t>(taskId.step)])) {
+        countPlace(job, taskId, executor, now);
+    }
     const run_key key{taskId, run};
     attachRun(executor, job, key);
     m_capacity.update(executor);
--- a/src/scheduler/scheduler_teams.cpp
+++ b/src/scheduler/scheduler_teams.cpp
@@ -12,6 +12,9 @@
 // Between two log lines that say that the same team has reached its cap.
 constexpr duration heldLogInterval = std::chrono::seconds{1};
 
+// Between two sums of the capacity of all executors. It changes little from second to second, and shares are compared with one another.
+constexpr duration teamCapacityInterval = std::chrono::seconds{1};
+
 // Accepted jobs of this age or younger are taken from the allowances of their teams at a takeover: the allowance holds the jobs of one second.
 constexpr std::int64_t allowanceMilliseconds = 1'000;
 
@@ -118,9 +121,10 @@
 
 void scheduler::updateTeamCapacity()
 {
-    if (!m_configuration.hasTeams) {
+    if (!m_configuration.hasTeams || m_now < m_nextTeamCapacityUpdate) {
         return;
     }
+    m_nextTeamCapacityUpdate = m_now + teamCapacityInterval;
     resources capacity;
     for (const auto &[id, executor] : m_executors) {
         if (executor.isListed) {
@@ -137,20 +141,38 @@
         return std::tuple(ranked.queue->priority, ranked.job->isLongRunning, ranked.isBeyondRate, ranked.lateness);
     };
     for (std::size_t begin = 0; begin < ranking.size();) {
-        std::map<std::string, fair_order> orders; // by service
-        std::size_t end = begin;
-        for (; end < ranking.size() && rankOf(ranking[end]) == rankOf(ranking[begin]); ++end) {
-            orders.try_emplace(ranking[end].queue->service, m_teams).first->second.add(end, *ranking[end].job->team);
+        std::size_t end = begin + 1;
+        while (end < ranking.size() && rankOf(ranking[end]) == rankOf(ranking[begin])) {
+            ++end;
         }
-        for (auto &[service, order] : orders) {
-            while (const auto item = order.next()) {
-                placeRanked(ranking[*item], now, wallNow);
-            }
+        if (end == begin + 1) {
+            placeRanked(ranking[begin], now, wallNow);
+        } else {
+            placeSameRank(ranking, begin, end, now, wallNow);
         }
         begin = end;
     }
 }
 
+/** Places the jobs from begin to before end, each service on its own. */
+void scheduler::placeSameRank(const std::vector<ranked_job> &ranking, std::size_t begin, std::size_t end, time_point now, wall_time wallNow)
+{
+    std::vector<std::pair<const std::string *, fair_order>> orders; // by service, of which there are few
+    for (std::size_t item = begin; item < end; ++item) {
+        const std::string &service = ranking[item].queue->service;
+        auto order = std::find_if(orders.begin(), orders.end(), [&](const auto &candidate) { return *candidate.first == service; });
+        if (order == orders.end()) {
+            order = orders.insert(orders.end(), {&service, fair_order(m_teams)});
+        }
+        order->second.add(item, *ranking[item].job->team);
+    }
+    for (auto &[service, order] : orders) {
+        while (const auto item = order.next()) {
+            placeRanked(ranking[*item], now, wallNow);
+        }
+    }
+}
+
 std::map<std::string, team_status> scheduler::teamStatuses() const
 {
     std::map<std::string, team_status> statuses;
--- a/src/teams/fair_order.cpp
+++ b/src/teams/fair_order.cpp
@@ -2,11 +2,12 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace parsleyglade {
 
 fair_order::fair_order(const team_ledger &ledger)
-    : m_ledger(ledger)
+    : m_ledger(&ledger)
 {
 }
 
@@ -24,8 +25,7 @@
 {
     start();
     if (m_last) {
-        queueTurn(*m_last);
-        m_last.reset();
+        queueTurn(*std::exchange(m_last, std::nullopt));
     }
     if (m_turns.empty()) {
         return std::nullopt;
@@ -55,7 +55,7 @@
     if (entry.taken == entry.items.size()) {
         return;
     }
-    m_turns.push_back({m_ledger.weightedShare(*entry.account), entry.account->policy.priority, entry.items[entry.taken], number});
+    m_turns.push_back({m_ledger->weightedShare(*entry.account), entry.account->policy.priority, entry.items[entry.taken], number});
     std::push_heap(m_turns.begin(), m_turns.end(), std::greater<>());
 }
 
--- a/src/teams/fair_order.h
+++ b/src/teams/fair_order.h
@@ -54,7 +54,7 @@
     void start();
     void queueTurn(std::size_t number);
 
-    const team_ledger &m_ledger;
+    const team_ledger *m_ledger;
     std::vector<backlog> m_backlogs;
     std::unordered_map<const team_account *, std::size_t> m_numbers; /**< Index in m_backlogs by team. */
     std::vector<turn> m_turns; /**< Heap with the smallest share first. */
