--- a/src/scheduler/executor_state.h
+++ b/src/scheduler/executor_state.h
@@ -3,10 +3,10 @@
 #include "core/time_types.h"
 #include "scheduler/attached_run.h"
 #include "scheduler/executor_description.h"
+#include "scheduler/late_starts.h"
 #include "scheduler/run_key.h"
 #include "wire/resources.h"
 
-#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -15,23 +15,6 @@
 
 namespace parsleyglade {
 
-/** A start order that has no response yet. */
-struct pending_start
-{
-    run_key run;
-    time_point sentAt{};
-};
-
-/** A start order that got no response, or had none when a new boot became known. A later boot of the executor may still carry it out until it expires. */
-struct unanswered_start
-{
-    run_key run;
-    time_point until{}; /**< The order can no longer be carried out after this time. */
-    bool isBlocked = true; /**< The current boot rejects the order: it is the boot that the order was sent to, or it has confirmed a stop of the run. */
-    time_point sentAt{}; /**< When a stop order for the run was last sent to the current boot. */
-    bool isPending = false; /**< The order may still get its response, which shows that it can't be carried out later. */
-};
-
 /** The leader's view of one executor: registry entry, clock, lease, runs and state of the poll loop. */
 struct executor_state
 {
@@ -60,8 +43,7 @@
     std::vector<run_key> heldStarts; /**< Recorded runs whose start order waits for an overdue response to a poll that acknowledges ends. */
     resources used; /**< Reserved by all runs that are or may be alive. */
     std::vector<attached_run> runs;
-    std::vector<pending_start> pendingStarts;
-    std::vector<unanswered_start> unansweredStarts;
+    late_starts lateStarts; /**< Start orders whose outcome is not known. */
     bool isPolling = false; /**< A poll is in flight. */
     bool isPollGrantingLease = false; /**< The poll in flight, or the last one, extends the lease. */
     time_point lastPollResponseAt{};
@@ -85,9 +67,7 @@
         known yet would be numbered from the start again; it has some only if it has received a start order. */
     bool mayAcknowledgeEnds() const
     {
-        const bool hasStartInFlight = !pendingStarts.empty()
-            || std::any_of(unansweredStarts.begin(), unansweredStarts.end(), [](const unanswered_start &order) { return order.isPending; });
-        return !hasUnnamedBoot && !hasStartInFlight && bootSeenAt > unattributedStartAt;
+        return !hasUnnamedBoot && !lateStarts.awaitsResponse() && bootSeenAt > unattributedStartAt;
     }
 
     /** Whether a poll that acknowledges ends may still be on its way to the executor. A start order could then overtake it. */
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -182,7 +182,7 @@
                         executor.lateGrantUntil = now + predecessorLeadership + m_settings.lateOrderTimeout;
                         const run_key key{{id, static_cast<int>(occurrence), static_cast<int>(step), static_cast<int>(index)}, run.run};
                         if (!run.isConfirmed) {
-                            executor.unansweredStarts.push_back({key, run.orderedAt + m_settings.lateOrderTimeout, true, {}, false});
+                            executor.lateStarts.addRestored(key, run.orderedAt + m_settings.lateOrderTimeout);
                         }
                         attachRun(executor, *job, key);
                     }
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -294,8 +294,7 @@
     void forgetEnds(executor_state &executor);
     void delayTask(const run_key &key, time_point until);
     void blockLateStarts(executor_state &executor, time_point now);
-    void expectLateStarts(executor_state &executor);
-    void settlePendingStart(executor_state &executor, const run_key &key, order_result result, time_point sentAt, time_point now);
+    void settleStart(executor_state &executor, const run_key &key, order_result result, time_point sentAt, time_point now);
     bool mayStillStart(const scheduled_run &run, time_point now) const;
     bool isGone(const executor_state &executor) const;
     void repeatOrders(executor_state &executor, time_point now);
--- a/src/scheduler/scheduler_changes.cpp
+++ b/src/scheduler/scheduler_changes.cpp
@@ -37,7 +37,7 @@
     const auto consider = [&next](time_point time) {
         next = next ? std::min(*next, time) : time;
     };
-    if (!executor.runs.empty() || !executor.unansweredStarts.empty()) {
+    if (!executor.runs.empty() || !executor.lateStarts.isEmpty()) {
         consider(executor.nextCheck);
     }
     if (needsPoll(executor)) {
@@ -91,7 +91,7 @@
 /** Whether the executor can be forgotten once its last lease has expired. */
 bool scheduler::isDroppable(const executor_state &executor)
 {
-    return !executor.isListed && executor.runs.empty() && executor.unansweredStarts.empty() && !executor.isPolling;
+    return !executor.isListed && executor.runs.empty() && executor.lateStarts.isEmpty() && !executor.isPolling;
 }
 
 void scheduler::dropExecutor(executor_state &executor)
--- a/src/scheduler/scheduler_executors.cpp
+++ b/src/scheduler/scheduler_executors.cpp
@@ -49,10 +49,8 @@
         addDecision("new-boot", {}, executor.description.id, "boot=" + std::to_string(boot) + " runs=" + std::to_string(executor.runs.size()));
         handleRunsOfEarlierBoot(executor, now);
     }
-    expectLateStarts(executor);
-    for (unanswered_start &order : executor.unansweredStarts) {
-        order.isBlocked = false;
-        order.sentAt = time_point{};
+    executor.lateStarts.startNewBoot();
+    for (const late_start &order : executor.lateStarts.orders()) {
         delayTask(order.run, order.until);
     }
     blockLateStarts(executor, now);
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -66,7 +66,7 @@
     run.phaseStartedAt = now;
     run.orderedAt = now;
     run.isOrderInFlight = true;
-    executor.pendingStarts.push_back({key, now});
+    executor.lateStarts.addSent(key, now + m_settings.lateOrderTimeout);
     countStart(job, now);
     start_order order{targetOf(executor), key.task, key.run, job.work.payload, job.task(key.task).checkpoint, {}, grantLease(executor, now)};
     addTaskDecision("start", key.task, run.executor, decision_entry::input_list{{{"run", key.run}, {"batch", static_cast<std::int64_t>(m_batch)}}});
@@ -135,7 +135,7 @@
     executor_state &executor = found->second;
     touch(executor);
     const run_key key{order.task, order.run};
-    settlePendingStart(executor, key, response.result, sentAt, now);
+    settleStart(executor, key, response.result, sentAt, now);
     if (!isUnsent(response.result) && !isFromKnownBoot(executor, response.clockMilliseconds, sentAt, now)) {
         executor.unattributedStartAt = now;
     }
@@ -252,11 +252,9 @@
         m_isDeposed = true;
         return;
     }
-    for (unanswered_start &start : found->second.unansweredStarts) {
-        if (start.run == run_key{order.task, order.run}) {
-            // The task waits until the order has expired all the same, because a still later boot would not know of the stop.
-            start.isBlocked = start.isBlocked || response.result == order_result::done;
-        }
+    if (response.result == order_result::done) {
+        // The task waits until the order has expired all the same, because a still later boot would not know of the stop.
+        found->second.lateStarts.confirmStop({order.task, order.run});
     }
 
     scheduled_run *run = findRun(run_key{order.task, order.run});
@@ -279,53 +277,27 @@
     }
 }
 
-/** Takes the start orders that have no response yet for unanswered ones, because a new boot of the executor has become known. Waiting for their responses would
-    be too late: once the new boot has confirmed a stop of the run, its task would be started again. */
-void scheduler::expectLateStarts(executor_state &executor)
-{
-    for (const pending_start &order : std::exchange(executor.pendingStarts, {})) {
-        executor.unansweredStarts.push_back({order.run, order.sentAt + m_settings.lateOrderTimeout, false, {}, true});
-    }
-}
-
 /** Takes note of the outcome of a start order. */
-void scheduler::settlePendingStart(executor_state &executor, const run_key &key, order_result result, time_point sentAt, time_point now)
+void scheduler::settleStart(executor_state &executor, const run_key &key, order_result result, time_point sentAt, time_point now)
 {
-    const auto pending
-        = std::find_if(executor.pendingStarts.begin(), executor.pendingStarts.end(), [&](const pending_start &order) { return order.run == key; });
-    if (pending != executor.pendingStarts.end()) {
-        executor.pendingStarts.erase(pending);
-    }
-    const auto expected = std::find_if(executor.unansweredStarts.begin(), executor.unansweredStarts.end(),
-                                       [&](const unanswered_start &order) { return order.isPending && order.run == key; });
     if (result == order_result::unanswered) {
-        if (expected != executor.unansweredStarts.end()) {
-            expected->isPending = false;
-        } else {
-            executor.unansweredStarts.push_back({key, sentAt + m_settings.lateOrderTimeout, sentAt >= executor.bootKnownAt, {}, false});
-        }
-        return;
-    }
-    if (expected == executor.unansweredStarts.end()) {
+        executor.lateStarts.settleUnanswered(key, sentAt + m_settings.lateOrderTimeout, sentAt >= executor.bootKnownAt);
         return;
     }
+    const std::optional<time_point> until = executor.lateStarts.settle(key);
     scheduled_task *task = findTask(key.task);
-    if (task != nullptr && task->notBefore == expected->until) {
+    if (until && task != nullptr && task->notBefore == *until) {
         task->notBefore = now; // the order can't be carried out later
     }
-    executor.unansweredStarts.erase(expected);
 }
 
 /** Sends stop orders for abandoned runs whose start order may still reach the current boot, which would otherwise accept it. */
 void scheduler::blockLateStarts(executor_state &executor, time_point now)
 {
-    std::erase_if(executor.unansweredStarts, [now](const unanswered_start &order) { return now > order.until; });
-    for (unanswered_start &order : executor.unansweredStarts) {
-        if (!order.isBlocked && now - order.sentAt >= m_settings.orderRetryDelay) {
-            order.sentAt = now;
-            addTaskDecision("block-late-start", order.run.task, executor.description.id, "run=" + std::to_string(order.run.run));
-            m_actions.emplace_back(stop_order{targetOf(executor), order.run.task, order.run.run});
-        }
+    executor.lateStarts.removeExpired(now);
+    for (const run_key &key : executor.lateStarts.takeStops(now, m_settings.orderRetryDelay)) {
+        addTaskDecision("block-late-start", key.task, executor.description.id, "run=" + std::to_string(key.run));
+        m_actions.emplace_back(stop_order{targetOf(executor), key.task, key.run});
     }
 }
 
@@ -347,7 +319,6 @@
     }
 }
 
-/** Stops runs that make no progress, and keeps new work from their executor for a while. */
 /** Returns how long a run may show no progress. Progress is reported in percent, so a long task shows some only now and then. */
 duration scheduler::stallTimeoutOf(const attached_run &attached) const
 {
@@ -357,6 +328,7 @@
     return std::max(m_settings.stallTimeout, expected / stallShare);
 }
 
+/** Stops runs that make no progress, and keeps new work from their executor for a while. */
 void scheduler::stopStalledRuns(executor_state &executor, time_point now)
 {
     for (const attached_run &key : executor.runs) {
--- a/src/scheduler/scheduler_runs.cpp
+++ b/src/scheduler/scheduler_runs.cpp
@@ -126,11 +126,7 @@
         const scheduled_run *run = findRun(attached);
         return run != nullptr && (run->phase == run_phase::stopping || run->phase == run_phase::unanswered);
     };
-    const auto mustBlock = [](const unanswered_start &order) {
-        return !order.isBlocked;
-    };
-    return std::any_of(executor.unansweredStarts.begin(), executor.unansweredStarts.end(), mustBlock)
-        || std::any_of(executor.runs.begin(), executor.runs.end(), mustRepeat);
+    return executor.lateStarts.hasUnblocked() || std::any_of(executor.runs.begin(), executor.runs.end(), mustRepeat);
 }
 
 } // namespace parsleyglade
