--- a/src/scheduler/late_starts.cpp
+++ b/src/scheduler/late_starts.cpp
@@ -55,11 +55,16 @@
     }
 }
 
-void late_starts::confirmStop(const run_key &run)
+bool late_starts::confirmStop(const run_key &run)
 {
+    bool isFirst = false;
     for (late_start &order : m_orders) {
-        order.isBlocked = order.isBlocked || order.run == run;
+        if (order.run == run) {
+            isFirst = isFirst || !order.isBlocked;
+            order.isBlocked = true;
+        }
     }
+    return isFirst;
 }
 
 std::vector<run_key> late_starts::takeStops(time_point now, duration repeatDelay)
@@ -79,6 +84,19 @@
     std::erase_if(m_orders, [now](const late_start &order) { return now > order.until; });
 }
 
+std::optional<time_point> late_starts::findExpiry(const run_key &run) const
+{
+    std::optional<time_point> latest;
+    const auto consider = [&](const auto &order) {
+        if (order.run == run) {
+            latest = std::max(latest.value_or(order.until), order.until);
+        }
+    };
+    std::for_each(m_orders.begin(), m_orders.end(), consider);
+    std::for_each(m_awaited.begin(), m_awaited.end(), consider);
+    return latest;
+}
+
 bool late_starts::awaitsResponse() const
 {
     return !m_awaited.empty() || std::any_of(m_orders.begin(), m_orders.end(), [](const late_start &order) { return order.isPending; });
--- a/src/scheduler/late_starts.h
+++ b/src/scheduler/late_starts.h
@@ -44,8 +44,8 @@
         responses would be too late, because the tasks may be started again once the new boot has confirmed the stops. */
     void startNewBoot();
 
-    /** Notes that the current boot has confirmed a stop of the run. */
-    void confirmStop(const run_key &run);
+    /** Notes that the current boot has confirmed a stop of the run. Returns whether it might have carried out an order to start it before. */
+    bool confirmStop(const run_key &run);
 
     /** Returns the runs whose stop is to be sent now to the current boot. @param repeatDelay time between two stops of a run */
     std::vector<run_key> takeStops(time_point now, duration repeatDelay);
@@ -53,6 +53,9 @@
     /** Removes the orders that can no longer be carried out. */
     void removeExpired(time_point now);
 
+    /** Returns until when an order to start the run may be carried out, with or without a response to come; nothing if there is no such order. */
+    std::optional<time_point> findExpiry(const run_key &run) const;
+
     /** Whether a start order may still get a response. */
     bool awaitsResponse() const;
 
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -293,6 +293,7 @@
     void loseRun(const executor_state &executor, const run_key &key, std::string_view loss, time_point now);
     void forgetEnds(executor_state &executor);
     void delayTask(const run_key &key, time_point until);
+    void noteRemainingStart(const executor_state &executor, const run_key &key);
     void blockLateStarts(executor_state &executor, time_point now);
     void settleStart(executor_state &executor, const run_key &key, order_result result, time_point sentAt, time_point now);
     bool mayStillStart(const scheduled_run &run, time_point now) const;
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -252,9 +252,10 @@
         m_isDeposed = true;
         return;
     }
-    if (response.result == order_result::done) {
-        // The task waits until the order has expired all the same, because a still later boot would not know of the stop.
-        found->second.lateStarts.confirmStop({order.task, order.run});
+    // The task waits until the order has expired all the same, because a still later boot would not know of the stop.
+    if (response.result == order_result::done && found->second.lateStarts.confirmStop({order.task, order.run})) {
+        addTaskDecision("late-start-blocked", order.task, order.target.executor,
+                        "run=" + std::to_string(order.run) + " clock=" + std::to_string(response.clockMilliseconds));
     }
 
     scheduled_run *run = findRun(run_key{order.task, order.run});
@@ -291,6 +292,16 @@
     }
 }
 
+/** Takes note that a run is given up or has ended although an order to start it may still be carried out, by a later boot if not by this one. */
+void scheduler::noteRemainingStart(const executor_state &executor, const run_key &key)
+{
+    if (const auto until = executor.lateStarts.findExpiry(key)) {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(*until - m_now);
+        addTaskDecision("late-start-remains", key.task, executor.description.id,
+                        "run=" + std::to_string(key.run) + " forMs=" + std::to_string(left.count()) + " boot=" + std::to_string(executor.description.boot));
+    }
+}
+
 /** Sends stop orders for abandoned runs whose start order may still reach the current boot, which would otherwise accept it. */
 void scheduler::blockLateStarts(executor_state &executor, time_point now)
 {
--- a/src/scheduler/scheduler_runs.cpp
+++ b/src/scheduler/scheduler_runs.cpp
@@ -84,6 +84,7 @@
     // Last, because the key may be an element of this list.
     attached_run *attached = found == m_executors.end() ? nullptr : findAttached(found->second, key.task, key.run);
     if (attached != nullptr) {
+        noteRemainingStart(found->second, *attached);
         found->second.runs.erase(found->second.runs.begin() + (attached - found->second.runs.data()));
         found->second.used -= reservedBy(step);
         job.team->used -= usedBy(step);
