--- a/idl/parsleyglade.thrift
+++ b/idl/parsleyglade.thrift
@@ -413,6 +413,7 @@
     15: i32 percent                // of a pace order
     16: i64 acknowledgedUpTo       // of a poll
     17: i32 waitMilliseconds       // of a poll
+    18: bool blocksLateStart       // of a stop: it is not queued behind other orders
 }
 
 struct relay_orders {
--- a/src/control/leader_task.cpp
+++ b/src/control/leader_task.cpp
@@ -309,6 +309,9 @@
     writeBatch();
     performActions();
     sendPolls();
+    if (const auto deadline = m_scheduler->decisionDeadline()) {
+        m_deadlineTimer = m_loop.after(*deadline, [this] { scheduleRun(); });
+    }
     if (m_scheduler->isDeposed()) {
         end("an executor has seen a higher fencing token");
     }
--- a/src/control/leader_task.h
+++ b/src/control/leader_task.h
@@ -101,6 +101,7 @@
     void writeBatch();
     void perform(scheduler_action &action);
     void sendStart(const start_order &order);
+    void sendStop(const stop_order &order);
     void sendPoll(poll_order &order);
     void handleRegistryRecord(const store_record &record);
     void handleStoreRefusal();
@@ -125,6 +126,7 @@
     std::set<std::string> m_malformedEntries;
     timer_subscription m_decisionTimer;
     timer_subscription m_runTimer;
+    timer_subscription m_deadlineTimer;
     timer_subscription m_loadTimer;
     time_point m_runDueAt{};
     leader_load m_load;
--- a/src/control/leader_task_orders.cpp
+++ b/src/control/leader_task_orders.cpp
@@ -44,16 +44,7 @@
                 sendStart(item);
             } else if constexpr (std::is_same_v<item_type, stop_order>) {
                 item.target.validUntil = leadershipLeaseEnd();
-                if (hasLeadershipLease()) {
-                    m_executors.stop(item, [this, order = item, alive = alive()](const order_response &response) {
-                        if (alive.lock()) {
-                            m_scheduler->handleStopResponse(order, response, m_loop.now());
-                            scheduleRun();
-                        }
-                    });
-                } else {
-                    m_scheduler->handleStopResponse(item, order_response{}, m_loop.now());
-                }
+                sendStop(item);
             } else if constexpr (std::is_same_v<item_type, pace_order>) {
                 item.target.validUntil = leadershipLeaseEnd();
                 if (hasLeadershipLease()) {
@@ -98,6 +89,23 @@
     });
 }
 
+void leader_task::sendStop(const stop_order &order)
+{
+    const time_point sentAt = m_loop.now();
+    if (!hasLeadershipLease()) {
+        order_response notSent;
+        notSent.result = order_result::not_sent;
+        m_scheduler->handleStopResponse(order, notSent, sentAt, sentAt);
+        return;
+    }
+    m_executors.stop(order, [this, order, sentAt, alive = alive()](const order_response &response) {
+        if (alive.lock()) {
+            m_scheduler->handleStopResponse(order, response, sentAt, m_loop.now());
+            scheduleRun();
+        }
+    });
+}
+
 void leader_task::sendPoll(poll_order &order)
 {
     const time_point sentAt = m_loop.now();
--- a/src/control/relay_messages.cpp
+++ b/src/control/relay_messages.cpp
@@ -68,6 +68,7 @@
     encoded.kind = wire::relay_order_kind::stop;
     encodeTarget(order.target, encoded);
     encodeRun(order.task, order.run, encoded);
+    encoded.blocksLateStart = order.blocksLateStart;
 }
 
 void encodeOrder(const pace_order &order, wire::relay_order &encoded)
@@ -94,7 +95,7 @@
 
 stop_order decodeStop(const wire::relay_order &encoded, time_point validUntil)
 {
-    return {decodeTarget(encoded, validUntil), decodeTask(encoded), encoded.run};
+    return {decodeTarget(encoded, validUntil), decodeTask(encoded), encoded.run, encoded.blocksLateStart};
 }
 
 pace_order decodePace(const wire::relay_order &encoded, time_point validUntil)
--- a/src/scheduler/executor_orders.h
+++ b/src/scheduler/executor_orders.h
@@ -41,6 +41,7 @@
     order_target target;
     task_id task;
     int run = 0;
+    bool blocksLateStart = false; /**< The run is over, and a new boot must hear of it before a late start order arrives: not queued behind other orders. */
 };
 
 /** Order to limit a running task to a percentage of its full speed. */
--- a/src/scheduler/executor_state.h
+++ b/src/scheduler/executor_state.h
@@ -44,6 +44,7 @@
     resources used; /**< Reserved by all runs that are or may be alive. */
     std::vector<attached_run> runs;
     late_starts lateStarts; /**< Start orders whose outcome is not known. */
+    bool isCountedAsLate = false; /**< Is among the executors with start orders that may be carried out late. */
     bool isPolling = false; /**< A poll is in flight. */
     bool isPollGrantingLease = false; /**< The poll in flight, or the last one, extends the lease. */
     time_point lastPollResponseAt{};
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -99,7 +99,7 @@
 
     /** Responses to orders and polls. @param sentAt when the order was sent */
     void handleStartResponse(const start_order &order, const order_response &response, time_point sentAt, time_point now);
-    void handleStopResponse(const stop_order &order, const order_response &response, time_point now);
+    void handleStopResponse(const stop_order &order, const order_response &response, time_point sentAt, time_point now);
     void handlePollResponse(const std::string &executor, const poll_response &response, time_point sentAt, time_point now);
 
     // ---- decisions ----
@@ -165,6 +165,10 @@
     /** Adds a decision about a host to the actions, to be logged. @param decision a constant @param inputs key=value pairs */
     void addHostDecision(std::string_view decision, const std::string &host, std::string inputs);
 
+    /** Returns how long after a call of decide() the next one must follow, because an executor may carry out the start of an ended run late and is to get
+       another stop of it; nothing if there is no such executor. */
+    std::optional<duration> decisionDeadline() const;
+
     /** Whether an executor has rejected an order because it has received a higher fencing token. The owner must then stop leading. */
     bool isDeposed() const;
 
@@ -293,9 +297,6 @@
     void loseRun(const executor_state &executor, const run_key &key, std::string_view loss, time_point now);
     void forgetEnds(executor_state &executor);
     void delayTask(const run_key &key, time_point until);
-    void noteRemainingStart(const executor_state &executor, const run_key &key);
-    void blockLateStarts(executor_state &executor, time_point now);
-    void settleStart(executor_state &executor, const run_key &key, order_result result, time_point sentAt, time_point now);
     bool mayStillStart(const scheduled_run &run, time_point now) const;
     bool isGone(const executor_state &executor) const;
     void repeatOrders(executor_state &executor, time_point now);
@@ -306,7 +307,8 @@
     void reconcile(executor_state &executor, const poll_response &response, time_point sentAt, time_point now);
     void stopStray(executor_state &executor, const running_entry &entry, time_point now);
     void reconcileMissing(executor_state &executor, const run_key &key, scheduled_run &run, time_point sentAt, time_point now);
-    void reconcileRunning(const attached_run &known, scheduled_run &run, const running_entry &entry, time_point sentAt, time_point now);
+    void reconcileRunning(executor_state &executor, const attached_run &known, scheduled_run &run, const running_entry &entry, time_point sentAt,
+                          time_point now);
     void handleRejectedStart(const start_order &order, scheduled_run &run, const order_response &response, time_point now);
     void updateClock(executor_state &executor, std::int64_t clockMilliseconds, time_point now) const;
     bool isFromKnownBoot(const executor_state &executor, std::int64_t clockMilliseconds, time_point sentAt, time_point now) const;
@@ -330,6 +332,16 @@
     static bool isDroppable(const executor_state &executor);
     void dropExecutor(executor_state &executor);
 
+    // start orders that may be carried out late
+    void settleStart(executor_state &executor, const run_key &key, order_result result, time_point sentAt, time_point now);
+    static void noteStarted(executor_state &executor, const run_key &key, const scheduled_run &run);
+    void giveUpStarts(executor_state &executor, const run_key &key);
+    bool isOver(const run_key &key, time_point now);
+    duration lateStopInterval() const;
+    void countLateStarts(executor_state &executor);
+    void blockLateStarts(executor_state &executor, time_point now);
+    void noteBlockingStop(executor_state &executor, const stop_order &order, const order_response &response, time_point sentAt, time_point now);
+
     // executors that have changed or are due
     void touch(executor_state &executor);
     void refreshTouched(time_point now);
@@ -437,6 +449,7 @@
     std::vector<std::string> m_removedJobs; /**< Jobs whose journal records are to be removed. */
     std::vector<executor_state *> m_touched; /**< @see touch() */
     wake_queue m_wakes;
+    std::int64_t m_lateStartExecutors = 0; /**< Executors with start orders that may be carried out late. */
     capacity_index m_capacity; /**< Executors that accept work. */
     std::map<std::string, service_round> m_rounds; /**< By service, during one round of placement. */
     std::map<std::pair<std::string, std::string>, rack_forecast> m_rackForecasts; /**< By service and rack, during one round of placement. */
--- a/src/scheduler/scheduler_changes.cpp
+++ b/src/scheduler/scheduler_changes.cpp
@@ -20,6 +20,7 @@
     for (executor_state *executor : std::exchange(m_touched, {})) {
         ++m_counters.executorVisits;
         executor->isTouched = false;
+        countLateStarts(*executor);
         if (executor->isSchedulable(now)) {
             m_capacity.update(*executor);
         } else {
--- a/src/scheduler/scheduler_counters.h
+++ b/src/scheduler/scheduler_counters.h
@@ -36,6 +36,7 @@
     std::uint64_t candidateVisits = 0; /**< Executors that were compared in the choice of one for a task. */
     std::uint64_t jobVisits = 0; /**< Jobs that a round ranked. */
     std::uint64_t pollOrders = 0;
+    std::uint64_t lateStartStops = 0; /**< Stop orders of runs that are over, because an order to start them may be carried out late. */
     std::uint64_t batches = 0;
     std::uint64_t batchBytes = 0; /**< Keys and values of all batches. */
     std::map<std::string, service_counters> services; /**< By service. */
--- a/src/scheduler/scheduler_ends.cpp
+++ b/src/scheduler/scheduler_ends.cpp
@@ -22,6 +22,7 @@
     }
     addTaskDecision("end", entry.task, executor.description.id,
                     decision_entry::input_list{{{"run", entry.run}, {"end", 0, name(entry.end)}, {"number", entry.number}}});
+    noteStarted(executor, *known, *run);
     scheduled_job &job = *known->job;
     ++countersOf(job).ends.at(static_cast<std::size_t>(entry.end));
     const wire::step_record &step = job.work.steps[static_cast<std::size_t>(entry.task.step)];
--- a/src/scheduler/scheduler_executors.cpp
+++ b/src/scheduler/scheduler_executors.cpp
@@ -53,7 +53,7 @@
     for (const late_start &order : executor.lateStarts.orders()) {
         delayTask(order.run, order.until);
     }
-    blockLateStarts(executor, now);
+    blockLateStarts(executor, now); // at once, before any work
     if (!isFirst && executor.lastGrantAt > executor.bootSeenAt) {
         assumeLongestLease(executor, now);
     }
@@ -201,6 +201,8 @@
     executor.nextPoll = now;
     forgetEnds(executor);
     assumeLongestLease(executor, now);
+    executor.lateStarts.unblock();
+    executor.nextCheck = now; // the check sends the stop orders
 }
 
 /** Returns the longest local time in which the clock of an executor advances by the lease. */
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -65,6 +65,7 @@
     run.phase = run_phase::ordered;
     run.phaseStartedAt = now;
     run.orderedAt = now;
+    ++run.startOrders;
     run.isOrderInFlight = true;
     executor.lateStarts.addSent(key, now + m_settings.lateOrderTimeout);
     countStart(job, now);
@@ -236,27 +237,29 @@
     releaseRun(key);
 }
 
-void scheduler::handleStopResponse(const stop_order &order, const order_response &response, time_point now)
+void scheduler::handleStopResponse(const stop_order &order, const order_response &response, time_point sentAt, time_point now)
 {
     const auto found = m_executors.find(order.target.executor);
     if (found == m_executors.end()) {
         return;
     }
-    touch(found->second);
+    executor_state &executor = found->second;
+    touch(executor);
     if (response.result == order_result::other_boot) {
-        handleLostRuns(found->second, run_loss::replaced, now);
-        found->second.isListed = false;
+        handleLostRuns(executor, run_loss::replaced, now);
+        executor.isListed = false;
         return;
     }
     if (response.result == order_result::fenced) {
         m_isDeposed = true;
         return;
     }
-    // The task waits until the order has expired all the same, because a still later boot would not know of the stop.
-    if (response.result == order_result::done && found->second.lateStarts.confirmStop({order.task, order.run})) {
-        addTaskDecision("late-start-blocked", order.task, order.target.executor,
-                        "run=" + std::to_string(order.run) + " clock=" + std::to_string(response.clockMilliseconds));
+    if (isFromLaterBoot(executor, response.clockMilliseconds, sentAt)) {
+        noteUnnamedBoot(executor, response.clockMilliseconds, now);
+    } else if (sentAt >= executor.bootKnownAt) {
+        updateClock(executor, response.clockMilliseconds, now);
     }
+    noteBlockingStop(executor, order, response, sentAt, now);
 
     scheduled_run *run = findRun(run_key{order.task, order.run});
     if (run == nullptr || run->phase != run_phase::stopping) {
@@ -266,7 +269,7 @@
     if (response.result == order_result::done) {
         run->phase = run_phase::stopped;
         run->phaseStartedAt = now;
-        found->second.nextPoll = std::min(found->second.nextPoll, now);
+        executor.nextPoll = std::min(executor.nextPoll, now);
     }
 }
 
@@ -278,40 +281,6 @@
     }
 }
 
-/** Takes note of the outcome of a start order. */
-void scheduler::settleStart(executor_state &executor, const run_key &key, order_result result, time_point sentAt, time_point now)
-{
-    if (result == order_result::unanswered) {
-        executor.lateStarts.settleUnanswered(key, sentAt + m_settings.lateOrderTimeout, sentAt >= executor.bootKnownAt);
-        return;
-    }
-    const std::optional<time_point> until = executor.lateStarts.settle(key);
-    scheduled_task *task = findTask(key.task);
-    if (until && task != nullptr && task->notBefore == *until) {
-        task->notBefore = now; // the order can't be carried out later
-    }
-}
-
-/** Takes note that a run is given up or has ended although an order to start it may still be carried out, by a later boot if not by this one. */
-void scheduler::noteRemainingStart(const executor_state &executor, const run_key &key)
-{
-    if (const auto until = executor.lateStarts.findExpiry(key)) {
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(*until - m_now);
-        addTaskDecision("late-start-remains", key.task, executor.description.id,
-                        "run=" + std::to_string(key.run) + " forMs=" + std::to_string(left.count()) + " boot=" + std::to_string(executor.description.boot));
-    }
-}
-
-/** Sends stop orders for abandoned runs whose start order may still reach the current boot, which would otherwise accept it. */
-void scheduler::blockLateStarts(executor_state &executor, time_point now)
-{
-    executor.lateStarts.removeExpired(now);
-    for (const run_key &key : executor.lateStarts.takeStops(now, m_settings.orderRetryDelay)) {
-        addTaskDecision("block-late-start", key.task, executor.description.id, "run=" + std::to_string(key.run));
-        m_actions.emplace_back(stop_order{targetOf(executor), key.task, key.run});
-    }
-}
-
 void scheduler::repeatOrders(executor_state &executor, time_point now)
 {
     blockLateStarts(executor, now);
--- a/src/scheduler/scheduler_polls.cpp
+++ b/src/scheduler/scheduler_polls.cpp
@@ -197,7 +197,7 @@
         if (run == nullptr || !mayExistOnExecutor(run->phase)) {
             stopStray(executor, entry, now);
         } else {
-            reconcileRunning(*known, *run, entry, sentAt, now);
+            reconcileRunning(executor, *known, *run, entry, sentAt, now);
         }
         if (run != nullptr) {
             known->isInList = true;
@@ -224,8 +224,10 @@
     m_actions.emplace_back(stop_order{targetOf(executor), entry.task, entry.run});
 }
 
-void scheduler::reconcileRunning(const attached_run &known, scheduled_run &run, const running_entry &entry, time_point sentAt, time_point now)
+void scheduler::reconcileRunning(executor_state &executor, const attached_run &known, scheduled_run &run, const running_entry &entry, time_point sentAt,
+                                 time_point now)
 {
+    noteStarted(executor, known, run);
     scheduled_job &job = *known.job;
     if (!entry.checkpoint.empty()) {
         job.task(entry.task).checkpoint = entry.checkpoint;
--- a/src/scheduler/scheduler_runs.cpp
+++ b/src/scheduler/scheduler_runs.cpp
@@ -84,7 +84,7 @@
     // Last, because the key may be an element of this list.
     attached_run *attached = found == m_executors.end() ? nullptr : findAttached(found->second, key.task, key.run);
     if (attached != nullptr) {
-        noteRemainingStart(found->second, *attached);
+        giveUpStarts(found->second, *attached);
         found->second.runs.erase(found->second.runs.begin() + (attached - found->second.runs.data()));
         found->second.used -= reservedBy(step);
         job.team->used -= usedBy(step);
@@ -119,6 +119,9 @@
     if (executor.isEvacuating || hasOrdersToRepeat(executor)) {
         executor.nextCheck = std::min(executor.nextCheck, now + m_settings.checkInterval);
     }
+    if (!executor.lateStarts.isEmpty()) {
+        executor.nextCheck = std::min(executor.nextCheck, now + lateStopInterval());
+    }
 }
 
 bool scheduler::hasOrdersToRepeat(const executor_state &executor)
@@ -127,7 +130,7 @@
         const scheduled_run *run = findRun(attached);
         return run != nullptr && (run->phase == run_phase::stopping || run->phase == run_phase::unanswered);
     };
-    return executor.lateStarts.hasUnblocked() || std::any_of(executor.runs.begin(), executor.runs.end(), mustRepeat);
+    return std::any_of(executor.runs.begin(), executor.runs.end(), mustRepeat);
 }
 
 } // namespace parsleyglade
--- a/src/scheduler/scheduler_settings.h
+++ b/src/scheduler/scheduler_settings.h
@@ -23,6 +23,9 @@
     duration orderRetryDelay = std::chrono::milliseconds{300}; /**< Delay before an order without a response is repeated. */
     duration lateOrderTimeout
         = std::chrono::milliseconds{12'500}; /**< How long after it was sent an order without a response may still be carried out, also by a later boot. */
+    duration lateStopInterval = std::chrono::milliseconds{20}; /**< Between two stops to an executor that may carry out the start of an ended run late. */
+    duration overdueStopDelay = std::chrono::milliseconds{100}; /**< The response to the stop of a run is overdue after this time. */
+    duration lateStopIntervalPerExecutor = std::chrono::milliseconds{2}; /**< It is at least this long for each such executor, to bound the rate of stops. */
     duration maximumStopTime = std::chrono::milliseconds{600}; /**< Upper bound for the time that an executor takes to stop a run. */
     duration placementBackoff = std::chrono::milliseconds{150}; /**< How long an executor that rejected a start gets no new runs. */
     duration restartBackoff = std::chrono::milliseconds{50}; /**< Delay before a task whose run failed is started again. */
--- a/tests/control/relayed_executors_test.cpp
+++ b/tests/control/relayed_executors_test.cpp
@@ -16,7 +16,7 @@
     fixture.start("executor", "same");
     fixture.start("other", "same");
     fixture.poll();
-    stop_order stop{fixture.target(), {"job", 1, 2, 3}, 4};
+    stop_order stop{fixture.target(), {"job", 1, 2, 3}, 4, true};
     std::optional<order_response> stopResponse;
     fixture.client->stop(stop, [&](const order_response &response) { stopResponse = response; });
     pace_order pace{fixture.target(), {"job", 1, 2, 3}, 4, 60};
@@ -35,6 +35,7 @@
     CHECK(start.task == task_id{"job", 0, 0, 1});
     CHECK(relay.executors.stops[0].first.task == stop.task);
     CHECK(relay.executors.stops[0].first.run == 4);
+    CHECK(relay.executors.stops[0].first.blocksLateStart);
     CHECK(relay.executors.paces[0].first.percent == 60);
     const poll_order &poll = relay.executors.polls[0].first;
     CHECK(poll.leaseEnd == 5000);
--- a/tests/platform/executor_orders_test.cpp
+++ b/tests/platform/executor_orders_test.cpp
@@ -128,3 +128,32 @@
     CHECK(*result == order_result::not_sent);
     CHECK(server.received() == 0);
 }
+
+// Guards against a new boot that hears of an ended run only when the orders to its predecessor have timed out (review case 12): the stop waited in the queue of
+// the executor behind orders without an answer.
+TEST_CASE("a stop that blocks a late start is sent although orders to the executor have no answer, and gives up soon")
+{
+    event_loop loop;
+    holding_executor server(loop);
+    platform_executors executors(loop, 16);
+    int done = 0;
+    for (int number = 0; number < 4; ++number) {
+        stop_order order;
+        order.target.executor = "executor";
+        order.target.address = server.address();
+        order.task = {"job", 0, 0, number};
+        order.run = 1;
+        order.blocksLateStart = number >= 2;
+        executors.stop(order, [&](const order_response &response) {
+            CHECK(response.result == order_result::unanswered);
+            if (++done == 2) {
+                loop.stop();
+            }
+        });
+    }
+    const time_point sentAt = loop.now();
+    const auto timeout = loop.after(5s, [&loop] { loop.stop(); });
+    loop.run();
+    CHECK(server.received() == 4);
+    CHECK(loop.now() - sentAt < 900ms); // the other orders time out after a second
+}
--- a/tests/scheduler/executor_reboot_test.cpp
+++ b/tests/scheduler/executor_reboot_test.cpp
@@ -290,7 +290,7 @@
     fixture.showNewBoot();
     cluster.settle();
     REQUIRE_FALSE(cluster.stops.empty());
-    cluster.state.handleStopResponse(cluster.stops.front(), {order_result::done, fixture.newClock()}, cluster.now);
+    cluster.state.handleStopResponse(cluster.stops.front(), {order_result::done, fixture.newClock()}, cluster.now, cluster.now);
     cluster.now += 20ms;
     REQUIRE(cluster.state.takePoll("a", cluster.now));
     cluster.state.handlePollResponse("a", fixture.listOf(secondBoot, {}, {}), cluster.now, cluster.now);
--- a/tests/scheduler/manual_cluster.h
+++ b/tests/scheduler/manual_cluster.h
@@ -31,6 +31,17 @@
         setTeams(std::move(teams));
     }
 
+    /** A cluster whose scheduler has the records of a journal and does not lead yet. */
+    manual_cluster(std::vector<team_policy> teams, scheduler_settings settings, std::map<std::string, std::string> records)
+        : state(settings)
+        , journal(std::move(records))
+    {
+        configuration.teams = std::move(teams);
+        for (const auto &[key, value] : journal) {
+            state.restore(key, value);
+        }
+    }
+
     /** Puts a configuration with these teams in force. */
     void setTeams(std::vector<team_policy> teams)
     {
--- a/tests/scheduler/order_retry_test.cpp
+++ b/tests/scheduler/order_retry_test.cpp
@@ -75,7 +75,7 @@
     cluster.settle(30ms);
     REQUIRE(cluster.stops.size() == 1);
     CHECK(cluster.stops.front().task == task_id{"gang", 0, 0, 1});
-    cluster.state.handleStopResponse(cluster.stops.front(), {order_result::done, cluster.clock()}, cluster.now);
+    cluster.state.handleStopResponse(cluster.stops.front(), {order_result::done, cluster.clock()}, cluster.now, cluster.now);
     cluster.now += 10ms;
     respond(cluster, "a", {otherRun}, {});
 
--- a/tests/scheduler/scheduling_simulation.cpp
+++ b/tests/scheduler/scheduling_simulation.cpp
@@ -380,7 +380,9 @@
     } else if (const auto *stop = std::get_if<stop_order>(&action)) {
         deliver<stop_order, order_response>(
             *stop, m_faults.lateStop, [](executor_model &executor, const stop_order &order, time_point now) { return executor.stop(order, now); },
-            [this, leader, order = *stop](const order_response &response) { leader->state->handleStopResponse(order, response, m_now); });
+            [this, leader, order = *stop, sentAt = m_now](const order_response &response) {
+                leader->state->handleStopResponse(order, response, sentAt, m_now);
+            });
     } else if (const auto *response = std::get_if<call_response>(&action)) {
         const auto call = m_calls.extract(response->token);
         if (call.empty() || leader != m_leader) {
