--- a/idl/parsleyglade.thrift
+++ b/idl/parsleyglade.thrift
@@ -319,6 +319,18 @@
     3: bool lost                   // of a leader that resigns: the executor does not answer it, and it has granted no later lease
 }
 
+// A start order without a response whose run is over. A later boot of the executor may still carry it out.
+struct late_start_record {
+    1: string executor
+    2: i64 boot                    // of the executor, as the leader knew it
+    3: string job
+    4: i32 occurrence
+    5: i32 step
+    6: i32 index
+    7: i32 run
+    8: i64 leftMilliseconds        // how long after this record was made the order may still be carried out
+}
+
 struct batch_record {
     1: i64 writer                  // incarnation
     2: i64 sequence                // rises by one with each batch of the writer
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -66,6 +66,9 @@
     if (key.size() > 1 && key.front() == leaseKeyPrefix) {
         return restoreLease(key.substr(1), value);
     }
+    if (late_start_records::isKey(key)) {
+        return m_lateStartRecords.restore(key, value);
+    }
     if (value.empty()) {
         removeRestored(key);
         return true;
@@ -190,6 +193,7 @@
             }
         }
     }
+    restoreLateStarts(now);
     restoreLeases(now, hasResigned);
     restoreArrivals(now, wallNow);
     for (const auto &[host, latest] : latestHostOrders()) {
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -9,6 +9,7 @@
 #include "scheduler/capacity_index.h"
 #include "scheduler/executor_state.h"
 #include "scheduler/host_order_history.h"
+#include "scheduler/late_start_records.h"
 #include "scheduler/queue_configuration.h"
 #include "scheduler/restored_arrivals.h"
 #include "scheduler/run_time_ratio.h"
@@ -336,6 +337,7 @@
     void settleStart(executor_state &executor, const run_key &key, order_result result, time_point sentAt, time_point now);
     static void noteStarted(executor_state &executor, const run_key &key, const scheduled_run &run);
     void giveUpStarts(executor_state &executor, const run_key &key);
+    void restoreLateStarts(time_point now);
     bool isOver(const run_key &key, time_point now);
     duration lateStopInterval() const;
     void countLateStarts(executor_state &executor);
@@ -449,6 +451,7 @@
     std::vector<std::string> m_removedJobs; /**< Jobs whose journal records are to be removed. */
     std::vector<executor_state *> m_touched; /**< @see touch() */
     wake_queue m_wakes;
+    late_start_records m_lateStartRecords;
     std::int64_t m_lateStartExecutors = 0; /**< Executors with start orders that may be carried out late. */
     capacity_index m_capacity; /**< Executors that accept work. */
     std::map<std::string, service_round> m_rounds; /**< By service, during one round of placement. */
--- a/src/scheduler/scheduler_batches.cpp
+++ b/src/scheduler/scheduler_batches.cpp
@@ -10,7 +10,7 @@
     if (m_isBatchUnconfirmed) {
         return std::nullopt;
     }
-    if (m_changed.empty() && m_removedJobs.empty() && m_changedHostRecords.empty() && m_changedLeaseRecords.empty()) {
+    if (m_changed.empty() && m_removedJobs.empty() && m_changedHostRecords.empty() && m_changedLeaseRecords.empty() && !m_lateStartRecords.hasChanged()) {
         acknowledgeUnrecordedEnds();
         return std::nullopt;
     }
@@ -41,6 +41,7 @@
     }
     m_changedHostRecords.clear();
     addLeaseRecords(batch);
+    m_lateStartRecords.addTo(batch, m_now);
 
     // Runs and responses of jobs that did not fit into this batch wait for the next one.
     const auto isIncluded = [this](const std::string &id) {
@@ -113,6 +114,7 @@
     m_resigned = now;
     recordLeasesOfLostExecutors();
     recordHostOrderAges(now);
+    m_lateStartRecords.refresh();
     for (const auto &[id, executor] : m_executors) {
         for (const attached_run &key : executor.runs) {
             const scheduled_run *run = findRun(key);
--- a/src/scheduler/scheduler_late_starts.cpp
+++ b/src/scheduler/scheduler_late_starts.cpp
@@ -13,6 +13,9 @@
         return;
     }
     const std::optional<time_point> until = executor.lateStarts.settle(key);
+    if (!executor.lateStarts.findExpiry(key)) {
+        m_lateStartRecords.remove(key);
+    }
     scheduled_task *task = findTask(key.task);
     if (until && task != nullptr && task->notBefore == *until) {
         task->notBefore = now; // the order can't be carried out later
@@ -35,12 +38,24 @@
         return;
     }
     executor.lateStarts.giveUp(key);
+    m_lateStartRecords.add({executor.description.id, executor.description.boot, key, *until});
     executor.nextCheck = m_now; // the check sends the stop order
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(*until - m_now);
     addTaskDecision("late-start-remains", key.task, executor.description.id,
                     "run=" + std::to_string(key.run) + " forMs=" + std::to_string(left.count()) + " boot=" + std::to_string(executor.description.boot));
 }
 
+/** Takes over the orders of earlier leaders whose runs are over. */
+void scheduler::restoreLateStarts(time_point now)
+{
+    for (const restored_late_start &order : m_lateStartRecords.takeRestored(now)) {
+        executor_state &executor = m_executors[order.executor];
+        executor.description.id = order.executor;
+        executor.description.boot = std::max(executor.description.boot, order.boot);
+        executor.lateStarts.addRestored(order.run, order.until);
+    }
+}
+
 /** Whether the run is to be alive no more, so that a stop of it does no harm, and no other stop of it may still be answered soon. */
 bool scheduler::isOver(const run_key &key, time_point now)
 {
--- a/src/scheduler/scheduler_runs.cpp
+++ b/src/scheduler/scheduler_runs.cpp
@@ -101,6 +101,7 @@
     m_wallNow = wallNow;
     checkDueExecutors(now);
     dropExpiredLeaseRecords(now);
+    m_lateStartRecords.removeExpired(now);
     place(now, wallNow);
 }
 
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -78,6 +78,7 @@
 template std::string encode(const wire::batch_record &);
 template std::string encode(const wire::host_record &);
 template std::string encode(const wire::lease_record &);
+template std::string encode(const wire::late_start_record &);
 template outcome<wire::claim_batch> decode(std::string_view);
 template outcome<wire::configuration_record> decode(std::string_view);
 template outcome<wire::fleet_record> decode(std::string_view);
@@ -87,5 +88,6 @@
 template outcome<wire::batch_record> decode(std::string_view);
 template outcome<wire::host_record> decode(std::string_view);
 template outcome<wire::lease_record> decode(std::string_view);
+template outcome<wire::late_start_record> decode(std::string_view);
 
 } // namespace parsleyglade
--- a/tests/scheduler/late_start_test.cpp
+++ b/tests/scheduler/late_start_test.cpp
@@ -173,3 +173,38 @@
     REQUIRE_FALSE(successor.cluster.stops.empty());
     CHECK(std::all_of(successor.cluster.stops.begin(), successor.cluster.stops.end(), [](const stop_order &stop) { return stop.run == 1; }));
 }
+
+// Guards against an order that the journal forgets with its run: a predecessor had an order without an answer, and its task has ended before the leader
+// changed. The successor must know of it, until the order can no longer be carried out.
+TEST_CASE("a successor goes on sending stops of runs that had ended before it took over")
+{
+    ended_run_fixture fixture;
+    taken_over_cluster successor(fixture.cluster);
+    CHECK(successor.cluster.state.findJob("job")->state == work_state::completed);
+    successor.answerPoll("a", {});
+    successor.cluster.settle();
+    successor.cluster.settle(100ms);
+    REQUIRE_FALSE(successor.cluster.stops.empty());
+    CHECK(successor.cluster.stops.front().task == task_id{"job", 0, 0, 0});
+    CHECK(successor.cluster.stops.front().run == 1);
+
+    successor.cluster.now += scheduler_settings{}.lateOrderTimeout;
+    successor.cluster.settle();
+    successor.cluster.stops.clear();
+    successor.cluster.settle(100ms);
+    CHECK(successor.cluster.stops.empty());
+    const auto isLateStart = [](const auto &entry) {
+        return late_start_records::isKey(entry.first) && !entry.second.empty();
+    };
+    CHECK(std::none_of(successor.cluster.journal.begin(), successor.cluster.journal.end(), isLateStart));
+}
+
+// Guards against a new boot that came up between two leaders, which is told nothing because it is the first that the successor knows.
+TEST_CASE("a boot that came up before the takeover is told of the ended runs at once")
+{
+    ended_run_fixture fixture;
+    taken_over_cluster successor(fixture.cluster, 2);
+    successor.cluster.settle(4ms);
+    REQUIRE(successor.cluster.stops.size() == 1);
+    CHECK(successor.cluster.stops.front().run == 1);
+}
