--- a/src/control/entry_host_settings.cpp
+++ b/src/control/entry_host_settings.cpp
@@ -2,7 +2,9 @@
 
 #include "core/json_checker.h"
 
+#include <charconv>
 #include <map>
+#include <optional>
 
 namespace parsleyglade {
 
@@ -32,6 +34,53 @@
     return value.address();
 }
 
+/** Whether a text stands for a value that the deployment does not have: it is empty, or a placeholder of the template that nothing has filled in. */
+bool isUnset(std::string_view text)
+{
+    return text.empty() || (text.starts_with("{{") && text.ends_with("}}"));
+}
+
+/** Reads an optional number, which may be given as text. Adds wrong_type or out_of_range. Returns nothing if it is not set. */
+std::optional<double> optionalNumber(const nlohmann::json &document, json_checker &checker, const std::string &key, double minimum, double maximum)
+{
+    json_checker value = checker.member(key);
+    if (!checker.has(key)) {
+        return std::nullopt;
+    }
+    if (!document[key].is_string()) {
+        return value.number(minimum, maximum);
+    }
+    const std::string text = value.text(0, maximumName);
+    if (isUnset(text)) {
+        return std::nullopt;
+    }
+    double number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end != text.data() + text.size()) {
+        value.fail(result_code::wrong_type, "must be a number");
+        return std::nullopt;
+    }
+    if (number < minimum || number > maximum) {
+        value.fail(result_code::out_of_range, "is out of range");
+        return std::nullopt;
+    }
+    return number;
+}
+
+/** Reads an optional boolean, which may be given as text. Adds wrong_type or invalid_value. @param otherwise if the document has no such key; one without a
+    value counts as false */
+bool optionalBoolean(const nlohmann::json &document, json_checker &checker, const std::string &key, bool otherwise)
+{
+    json_checker value = checker.member(key);
+    if (!checker.has(key)) {
+        return otherwise;
+    }
+    if (!document[key].is_string()) {
+        return value.boolean();
+    }
+    return !isUnset(document[key].get<std::string>()) && value.oneOf({"true", "false"}) == "true";
+}
+
 } // namespace
 
 outcome<entry_host_settings> parseEntryHostSettings(const std::string &text)
@@ -46,7 +95,7 @@
     checker.checkObject({"entryHost", "dataCentre", "region", "callerAddress", "readinessAddress", "peerAddress", "storeAddress", "sharedKey",
                          "gracePeriodSeconds", "maximumLeaseMilliseconds", "hostOrderLeaseMilliseconds"},
                         {"hostServiceAddress", "adviceAddress", "metricsAddress", "logLevel", "processorShare", "maximumDescriptors",
-                         "configurationBoundMilliseconds", "revocationBoundMilliseconds", "remoteRunFactor"});
+                         "configurationBoundMilliseconds", "revocationBoundMilliseconds", "strictRevocation", "remoteRunFactor"});
 
     entry_host_settings settings;
     settings.entryHost = checker.member("entryHost").identifier(maximumName);
@@ -67,12 +116,12 @@
     if (checker.has("configurationBoundMilliseconds")) {
         settings.configurationBound = secondsOf(checker.member("configurationBoundMilliseconds").number(1, maximumMilliseconds) / millisecondsPerSecond);
     }
-    if (checker.has("revocationBoundMilliseconds")) {
-        settings.revocationBound = secondsOf(checker.member("revocationBoundMilliseconds").number(1, maximumMilliseconds) / millisecondsPerSecond);
-    }
-    if (checker.has("remoteRunFactor")) {
-        settings.remoteRunFactor = checker.member("remoteRunFactor").number(1, maximumRemoteRunFactor);
+    const auto revocationBound = optionalNumber(*document, checker, "revocationBoundMilliseconds", 1, maximumMilliseconds);
+    const bool isStrict = optionalBoolean(*document, checker, "strictRevocation", true);
+    if (revocationBound && isStrict) {
+        settings.revocationBound = secondsOf(*revocationBound / millisecondsPerSecond);
     }
+    settings.remoteRunFactor = optionalNumber(*document, checker, "remoteRunFactor", 1, maximumRemoteRunFactor).value_or(settings.remoteRunFactor);
     if (checker.has("processorShare")) {
         settings.processorShare = checker.member("processorShare").number(minimumProcessorShare, maximumProcessorShare);
     }
--- a/src/control/load_reporter.cpp
+++ b/src/control/load_reporter.cpp
@@ -109,8 +109,8 @@
     const scheduler_counters &current = m_state.counters();
     return field("rounds", current.rounds, m_lastCounters.rounds) + field("executor-visits", current.executorVisits, m_lastCounters.executorVisits)
         + field("candidate-visits", current.candidateVisits, m_lastCounters.candidateVisits) + field("job-visits", current.jobVisits, m_lastCounters.jobVisits)
-        + field("polls", current.pollOrders, m_lastCounters.pollOrders) + field("batches", current.batches, m_lastCounters.batches)
-        + field("batch-bytes", current.batchBytes, m_lastCounters.batchBytes);
+        + field("polls", current.pollOrders, m_lastCounters.pollOrders) + field("late-start-stops", current.lateStartStops, m_lastCounters.lateStartStops)
+        + field("batches", current.batches, m_lastCounters.batches) + field("batch-bytes", current.batchBytes, m_lastCounters.batchBytes);
 }
 
 std::string load_reporter::describeRelays()
@@ -154,6 +154,7 @@
     count.samples.push_back({{{"kind", "candidate-visits"}}, toCounter(counters.candidateVisits)});
     count.samples.push_back({{{"kind", "job-visits"}}, toCounter(counters.jobVisits)});
     count.samples.push_back({{{"kind", "poll-orders"}}, toCounter(counters.pollOrders)});
+    count.samples.push_back({{{"kind", "late-start-stops"}}, toCounter(counters.lateStartStops)});
     count.samples.push_back({{{"kind", "batches"}}, toCounter(counters.batches)});
     count.samples.push_back({{{"kind", "batch-bytes"}}, toCounter(counters.batchBytes)});
     const relay_counters &relays = m_load.relays();
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -192,22 +192,38 @@
     CHECK(decoder.encodeWaveStatus(1, false).value == R"({"State":"running"})");
 }
 
-// Guards against a deployment template that no longer matches the settings parser.
+// Guards against a deployment template that no longer matches the settings parser, and against one with sections, which not every renderer fills in. A value
+// that the deployment does not have comes out empty, or stays a placeholder where the renderer does not know its name.
 TEST_CASE("the filled-in settings template is accepted by the settings parser", "[wire]")
 {
-    // Sections are optional: the platform fills them in only where a deployment has the value.
-    const bool hasOptionalValues = GENERATE(false, true);
-    std::string text = std::regex_replace(readSourceFile("deploy/node.json.template"), std::regex("\\{\\{#[\\w.]+\\}\\}(.*)\\{\\{/[\\w.]+\\}\\}"),
-                                          hasOptionalValues ? "$1" : "");
-    const std::vector<std::pair<std::string, std::string>> values{{"\\{\\{Bounds\\.RemoteFactor\\}\\}", "1.5"},
-                                                                  {"\\{\\{(Listen\\.\\w+|platform\\.Address)\\|json\\}\\}", "\"10.0.0.1:80\""},
-                                                                  {"\\{\\{\\w+\\|json\\}\\}", "\"name\""},
-                                                                  {"\\{\\{Ip\\}\\}", "10.0.0.1"},
-                                                                  {"\\{\\{(CloudApi\\.Address|Advice)\\}\\}", "10.0.0.2:81"},
-                                                                  {"\\{\\{Bounds\\.GraceS\\}\\}", "6.5"},
-                                                                  {"\\{\\{Limits\\.CpuShare\\}\\}", "0.12"},
-                                                                  {"\\{\\{[\\w.]+\\}\\}", "7000"}};
-    for (const auto &[placeholder, value] : values) {
+    struct optional_values
+    {
+        std::string strict;
+        std::string bound;
+        std::string factor;
+        std::optional<duration> expectedBound;
+        double expectedFactor = 1.0;
+    };
+    const auto optional = GENERATE(values<optional_values>({{"true", "7000", "1.5", 7s, 1.5},
+                                                            {"false", "7000", "3", std::nullopt, 3.0},
+                                                            {"", "7000", "", std::nullopt, 1.0},
+                                                            {"", "", "", std::nullopt, 1.0},
+                                                            {"$&", "$&", "$&", std::nullopt, 1.0}}));
+    std::string text = readSourceFile("deploy/node.json.template");
+    CHECK(text.find("{{#") == std::string::npos);
+    CHECK(text.find("{{^") == std::string::npos);
+    const std::vector<std::pair<std::string, std::string>> fields{
+        {"\\{\\{Bounds\\.StrictRevoke\\}\\}", optional.strict},
+        {"\\{\\{Bounds\\.RevokeMs\\}\\}", optional.bound},
+        {"\\{\\{Bounds\\.RemoteFactor\\}\\}", optional.factor},
+        {"\\{\\{(Listen\\.\\w+|platform\\.Address)\\|json\\}\\}", "\"10.0.0.1:80\""},
+        {"\\{\\{\\w+\\|json\\}\\}", "\"name\""},
+        {"\\{\\{Ip\\}\\}", "10.0.0.1"},
+        {"\\{\\{(CloudApi\\.Address|Advice)\\}\\}", "10.0.0.2:81"},
+        {"\\{\\{Bounds\\.GraceS\\}\\}", "6.5"},
+        {"\\{\\{Limits\\.CpuShare\\}\\}", "0.12"},
+        {"\\{\\{(InternalPorts\\.\\d|Bounds\\.(MaxHoldMs|ConfigApplyMs|LeaseMs)|Limits\\.MaxFds)\\}\\}", "7000"}};
+    for (const auto &[placeholder, value] : fields) {
         text = std::regex_replace(text, std::regex(placeholder), value);
     }
     const auto settings = parseEntryHostSettings(text);
@@ -219,8 +235,32 @@
     CHECK(settings->maximumLease == 7s);
     CHECK(settings->configurationBound == 7s);
     CHECK(settings->processorShare == 0.12);
-    CHECK(settings->remoteRunFactor == (hasOptionalValues ? 1.5 : 1.0));
-    CHECK(settings->revocationBound == (hasOptionalValues ? std::optional<duration>(7s) : std::nullopt));
+    CHECK(settings->remoteRunFactor == optional.expectedFactor);
+    CHECK(settings->revocationBound == optional.expectedBound);
+}
+
+// Guards against an optional value that is taken for absent although it is wrong, and against settings without "strictRevocation" that lose their bound.
+TEST_CASE("optional settings may be numbers or text, and a wrong one is an error", "[wire]")
+{
+    const auto parse = [](const std::string &more) {
+        return parseEntryHostSettings(R"({"entryHost":"a","dataCentre":"b","region":"c","callerAddress":"10.0.0.1:1","readinessAddress":"10.0.0.1:2",)"
+                                      R"("peerAddress":"10.0.0.1:3","storeAddress":"10.0.0.2:1","sharedKey":"k","gracePeriodSeconds":6,)"
+                                      R"("maximumLeaseMilliseconds":6000,"hostOrderLeaseMilliseconds":3000)"
+                                      + more + "}");
+    };
+    const auto plain = parse(R"(,"remoteRunFactor":1.5,"revocationBoundMilliseconds":7000)");
+    REQUIRE(plain);
+    CHECK(plain->remoteRunFactor == 1.5);
+    CHECK(plain->revocationBound == std::optional<duration>(7s));
+    const auto notStrict = parse(R"(,"revocationBoundMilliseconds":7000,"strictRevocation":false)");
+    REQUIRE(notStrict);
+    CHECK_FALSE(notStrict->revocationBound.has_value());
+    for (const char *wrong :
+         {R"(,"remoteRunFactor":"fast")", R"(,"remoteRunFactor":"0.5")", R"(,"remoteRunFactor":0.5)", R"(,"remoteRunFactor":"1.5x")",
+          R"(,"revocationBoundMilliseconds":"-1")", R"(,"revocationBoundMilliseconds":true)", R"(,"strictRevocation":"perhaps")", R"(,"strictRevocation":1)"}) {
+        INFO(wrong);
+        CHECK_FALSE(parse(wrong));
+    }
 }
 
 // Guards against a parser that accepts invalid settings or stops at the first error.
