--- a/idl/parsleyglade.thrift
+++ b/idl/parsleyglade.thrift
@@ -284,6 +284,7 @@
     3: i64 boot                    // start of the executor, milliseconds since the Unix epoch
     4: bool confirmed              // the executor has begun it, and no order for it is under way
     5: i32 orderAgeMilliseconds    // of a leader that resigns: time since its last start order, which has no answer; otherwise 0
+    6: bool repeated               // an order to start it had no answer, so that it may have had more than one
 }
 
 struct task_record {
--- a/src/scheduler/job_records.cpp
+++ b/src/scheduler/job_records.cpp
@@ -59,6 +59,7 @@
         entry.executor = run.executor;
         entry.boot = run.boot;
         entry.confirmed = run.isConfirmed && !run.mayArriveLate;
+        entry.repeated = run.mayArriveLate;
         if (resigned && mayHaveStartInFlight(run)) {
             const duration age = std::max(*resigned - run.orderedAt, duration::zero());
             entry.orderAgeMilliseconds = static_cast<std::int32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
@@ -209,6 +210,7 @@
             job.hasBegun = job.hasBegun || entry.confirmed;
             run.phase = run_phase::restored;
             run.isRestored = true;
+            run.startOrders = entry.repeated ? 2 : 1;
             run.orderAge = std::chrono::milliseconds{entry.orderAgeMilliseconds};
         }
     }
--- a/src/scheduler/scheduled_job.h
+++ b/src/scheduler/scheduled_job.h
@@ -23,7 +23,7 @@
     std::int64_t boot = 0;
     run_phase phase = run_phase::planned;
     bool mayArriveLate = false; /**< A start order of this run got no response and may still be carried out. */
-    int startOrders = 0; /**< Start orders that this leader has sent. */
+    int startOrders = 0; /**< Start orders that were sent; of a restored run one, or two if there were more. */
     time_point orderedAt{}; /**< When the last start order was sent. */
     duration orderAge{}; /**< For a restored run whose previous leader resigned: minimum time between its last start order and the resignation. */
     bool isRestored = false; /**< Read from the journal: the previous leader may have ordered its stop. */
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -339,7 +339,7 @@
     void giveUpStarts(executor_state &executor, const run_key &key);
     void restoreLateStarts(time_point now);
     bool isOver(const run_key &key, time_point now);
-    duration lateStopInterval() const;
+    duration lateStopInterval(const executor_state &executor) const;
     void countLateStarts(executor_state &executor);
     void blockLateStarts(executor_state &executor, time_point now);
     void noteBlockingStop(executor_state &executor, const stop_order &order, const order_response &response, time_point sentAt, time_point now);
--- a/src/scheduler/scheduler_late_starts.cpp
+++ b/src/scheduler/scheduler_late_starts.cpp
@@ -25,7 +25,7 @@
 /** Takes note that a list has the run. If only one order to start it was sent, that one can't be carried out later. */
 void scheduler::noteStarted(executor_state &executor, const run_key &key, const scheduled_run &run)
 {
-    if (run.startOrders == 1 && !run.isRestored) {
+    if (run.startOrders == 1) {
         executor.lateStarts.removeCarriedOut(key);
     }
 }
@@ -65,15 +65,16 @@
 }
 
 /** Returns the time between two stops to an executor that may start again and carry out an order late. Grows with the number of such executors, so that
-    the rate of these stops is bounded. */
-duration scheduler::lateStopInterval() const
+    the rate of these stops is bounded, and is longer for one that does not respond: each stop then costs a connection. */
+duration scheduler::lateStopInterval(const executor_state &executor) const
 {
-    return std::max(m_settings.lateStopInterval, m_settings.lateStopIntervalPerExecutor * m_lateStartExecutors);
+    const duration interval = std::max(m_settings.lateStopInterval, m_settings.lateStopIntervalPerExecutor * m_lateStartExecutors);
+    return executor.failedContacts > 0 ? interval * m_settings.silentStopFactor : interval;
 }
 
 std::optional<duration> scheduler::decisionDeadline() const
 {
-    return m_lateStartExecutors > 0 ? std::optional<duration>(lateStopInterval()) : std::nullopt;
+    return m_lateStartExecutors > 0 ? std::optional<duration>(m_settings.lateStopInterval) : std::nullopt;
 }
 
 /** Counts the executors with orders that may be carried out late. */
@@ -93,7 +94,8 @@
     if (executor.lateStarts.isEmpty() || executor.description.address.empty()) {
         return;
     }
-    const std::vector<run_key> runs = executor.lateStarts.takeStops(now, lateStopInterval(), [this, now](const run_key &key) { return isOver(key, now); });
+    const std::vector<run_key> runs
+        = executor.lateStarts.takeStops(now, lateStopInterval(executor), [this, now](const run_key &key) { return isOver(key, now); });
     m_counters.lateStartStops += runs.size();
     for (const run_key &key : runs) {
         stop_order order{targetOf(executor), key.task, key.run};
@@ -105,7 +107,7 @@
 /** Takes note of the response to the stop of a run that an order may still start. */
 void scheduler::noteBlockingStop(executor_state &executor, const stop_order &order, const order_response &response, time_point sentAt, time_point now)
 {
-    if (response.result == order_result::unanswered && now - sentAt < lateStopInterval()) {
+    if (response.result == order_result::unanswered && now - sentAt < lateStopInterval(executor)) {
         executor.lateStarts.hastenStop(); // the connection was one to an earlier boot, and the next one is up
         executor.nextCheck = now;
     }
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -1,6 +1,7 @@
 #include "scheduler/scheduler.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace parsleyglade {
 
@@ -196,7 +197,9 @@
     const run_key key{order.task, order.run};
     switch (response.result) {
     case order_result::unanswered:
-        run.mayArriveLate = true;
+        if (!std::exchange(run.mayArriveLate, true)) {
+            markChanged(*findMutableJob(key.task.job)); // a successor must know that the order is repeated
+        }
         if (run.phase == run_phase::ordered) {
             run.phase = run_phase::unanswered;
             run.phaseStartedAt = now;
--- a/src/scheduler/scheduler_runs.cpp
+++ b/src/scheduler/scheduler_runs.cpp
@@ -121,7 +121,7 @@
         executor.nextCheck = std::min(executor.nextCheck, now + m_settings.checkInterval);
     }
     if (!executor.lateStarts.isEmpty()) {
-        executor.nextCheck = std::min(executor.nextCheck, now + lateStopInterval());
+        executor.nextCheck = std::min(executor.nextCheck, now + lateStopInterval(executor));
     }
 }
 
--- a/src/scheduler/scheduler_settings.h
+++ b/src/scheduler/scheduler_settings.h
@@ -24,6 +24,7 @@
     duration lateOrderTimeout
         = std::chrono::milliseconds{12'500}; /**< How long after it was sent an order without a response may still be carried out, also by a later boot. */
     duration lateStopInterval = std::chrono::milliseconds{20}; /**< Between two stops to an executor that may carry out the start of an ended run late. */
+    int silentStopFactor = 5; /**< The time between these stops is so many times as long for an executor that does not respond. */
     duration overdueStopDelay = std::chrono::milliseconds{100}; /**< The response to the stop of a run is overdue after this time. */
     duration lateStopIntervalPerExecutor = std::chrono::milliseconds{2}; /**< It is at least this long for each such executor, to bound the rate of stops. */
     duration maximumStopTime = std::chrono::milliseconds{600}; /**< Upper bound for the time that an executor takes to stop a run. */
--- a/tests/scheduler/scheduling_property_test.cpp
+++ b/tests/scheduler/scheduling_property_test.cpp
@@ -228,6 +228,18 @@
     checkSeeds(faults);
 }
 
+// Guards against a start order that the next boot of its executor carries out after the end of its run, because that boot hears of the end too late: nobody
+// talks to an idle executor, and the registry shows the boot seconds later (review case 12).
+TEST_CASE("no task runs twice when a late start order meets a restart that the registry shows late", "[scheduler]")
+{
+    simulated_faults faults;
+    faults.lateStart = 0.25;
+    faults.crashInterval = std::chrono::seconds{2};
+    faults.downTime = std::chrono::milliseconds{100};
+    faults.registryInterval = std::chrono::milliseconds{1500};
+    checkSeeds(faults);
+}
+
 // Guards against acknowledgements that reach a boot they were not meant for: it forgets ends that the leader has not seen, and done tasks are started again
 // (review case 6). Short tasks on executors that restart all the time have ends to acknowledge in each boot.
 TEST_CASE("no task runs twice when executors restart unnoticed while their ends are acknowledged", "[scheduler]")
