--- a/src/scheduler/scheduler_polls.cpp
+++ b/src/scheduler/scheduler_polls.cpp
@@ -216,10 +216,11 @@
     }
 }
 
-/** Stops a run that is not to be on the executor. */
+/** Stops a run that is not to be on the executor. Its room is not reserved, so the executor gets no new runs until it can be gone. */
 void scheduler::stopStray(executor_state &executor, const running_entry &entry, time_point now)
 {
     delayTask({entry.task, entry.run}, now + m_settings.maximumStopTime);
+    executor.avoidUntil = std::max(executor.avoidUntil, now + m_settings.maximumStopTime);
     addTaskDecision("stop-stray", entry.task, executor.description.id, "run=" + std::to_string(entry.run));
     m_actions.emplace_back(stop_order{targetOf(executor), entry.task, entry.run});
 }
--- a/tests/scheduler/late_start_test.cpp
+++ b/tests/scheduler/late_start_test.cpp
@@ -208,3 +208,27 @@
     REQUIRE(successor.cluster.stops.size() == 1);
     CHECK(successor.cluster.stops.front().run == 1);
 }
+
+// Guards against an executor that gets work beyond its capacity: a late order has started a run there that nobody wants, and the run takes its room until it
+// has stopped (seed 2806299510601 of the property test whose executors restart unnoticed several times).
+TEST_CASE("an executor gets no new runs while an unwanted run is being stopped there")
+{
+    manual_cluster cluster;
+    cluster.addExecutor("a");
+    cluster.submit("first", {shortStep()});
+    cluster.settle();
+    REQUIRE(cluster.starts.size() == 1);
+    cluster.now += 100ms;
+    REQUIRE(cluster.state.takePoll("a", cluster.now));
+    poll_response response;
+    response.result = order_result::done;
+    response.boot = 1;
+    response.clockMilliseconds = cluster.clock();
+    response.running = {{{"first", 0, 0, 0}, 1, {}, 10, 0}, {{"gone", 0, 0, 0}, 1, {}, 10, 0}};
+    cluster.state.handlePollResponse("a", response, cluster.now, cluster.now);
+    cluster.submit("second", {shortStep()});
+    cluster.settle();
+    CHECK(cluster.starts.size() == 1);
+    cluster.settle(scheduler_settings{}.maximumStopTime + 10ms);
+    CHECK(cluster.starts.size() == 2);
+}
